--- /dev/null
+++ b/upstream/hashrange_test.go
@@ -0,0 +1,36 @@
+package upstream
+
+import (
+	"math/big"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against coverage that counts an overlap twice or misses the wrap of
+// End to 2^64: gaps and covered share must add up to the whole.
+func TestShareMatchesBitmap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cells = 16
+		parts := Split(cells)
+		var covered [cells]bool
+		var ranges []HashRange
+		for range rapid.IntRange(0, 6).Draw(t, "ranges") {
+			from := rapid.IntRange(0, cells-1).Draw(t, "from")
+			to := rapid.IntRange(from, cells-1).Draw(t, "to")
+			ranges = append(ranges, HashRange{Start: parts[from].Start, End: parts[to].End})
+			for i := from; i <= to; i++ {
+				covered[i] = true
+			}
+		}
+		count := int64(0)
+		for _, c := range covered {
+			if c {
+				count++
+			}
+		}
+		if got, want := Share(HashRange{}, ranges), big.NewRat(count, cells); got.Cmp(want) != 0 {
+			t.Fatalf("share of %v is %s, want %s", ranges, got, want)
+		}
+	})
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,91 @@
+// Package upstream defines the messages that are exchanged with upstreams, the
+// back end replicas that hold the shards, and a client for them.
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind tells whether a request may be run more than once.
+type Kind string
+
+const (
+	// Read is an idempotent request.
+	Read Kind = "read"
+	// Execute is a non-idempotent request.
+	Execute Kind = "execute"
+)
+
+// Errors of this package. The client wraps them, so test with errors.Is.
+var (
+	// ErrShed reports that the upstream refused the request because of load;
+	// it did not run.
+	ErrShed = errors.New("upstream shed the request")
+	// ErrDraining reports that the upstream is leaving and refused the
+	// request; it did not run.
+	ErrDraining = errors.New("upstream is draining")
+	// ErrSnapshotGone reports that the upstream does not hold the snapshot
+	// asked for. Reply.Held lists those that it holds.
+	ErrSnapshotGone = errors.New("upstream does not hold the snapshot")
+	// ErrMoved reports that the upstream no longer covers the partition.
+	ErrMoved = errors.New("partition moved")
+	// ErrConnect reports that no connection could be made; the request was
+	// never sent.
+	ErrConnect = errors.New("cannot connect to upstream")
+	// ErrBroken reports that the request was sent and the reply was lost or
+	// cut short.
+	ErrBroken = errors.New("connection to upstream broke")
+	// ErrMismatch reports a reply that belongs to another attempt.
+	ErrMismatch = errors.New("reply belongs to another attempt")
+	// ErrTimeout reports that the deadline passed after the request was sent.
+	ErrTimeout = errors.New("upstream deadline exceeded")
+)
+
+// NotRun reports whether err proves that the upstream did not run the request.
+func NotRun(err error) bool {
+	return errors.IsAny(err, ErrShed, ErrDraining, ErrSnapshotGone, ErrMoved, ErrConnect)
+}
+
+// Request is one sub-request to an upstream.
+type Request struct {
+	Attempt   string          `json:"attempt"`
+	Service   string          `json:"service"`
+	Kind      Kind            `json:"kind"`
+	Snapshot  uint64          `json:"snapshot"` // 0 asks for the newest one held
+	Partition HashRange       `json:"partition"`
+	Key       string          `json:"key,omitempty"` // idempotency key of an Execute
+	Deadline  time.Duration   `json:"-"`             // time left; sent as deadline_ms
+	Body      json.RawMessage `json:"request"`
+}
+
+// Load is an upstream's own load report. It may lag or mislead, so it is used
+// only to lower the load that is sent.
+type Load struct {
+	InFlight int  `json:"in_flight"`
+	Slots    int  `json:"slots"`
+	Draining bool `json:"draining"`
+	Cold     bool `json:"cold"`
+}
+
+// Reply is an upstream's answer to a Request. When Client.Do returns an error
+// that came from the upstream, Attempt, Held, Incarnation and Load are set.
+type Reply struct {
+	Attempt     string          `json:"attempt"`
+	Service     string          `json:"service"`
+	Snapshot    uint64          `json:"snapshot"`
+	Held        []uint64        `json:"held"`
+	Partition   HashRange       `json:"partition"`
+	Incarnation string          `json:"incarnation"`
+	Load        Load            `json:"load"`
+	Records     json.RawMessage `json:"records,omitempty"`
+}
+
+// Client sends requests to upstreams.
+type Client interface {
+	// Do sends r to the upstream at address and returns its reply.
+	Do(ctx context.Context, address string, r Request) (Reply, error)
+}
