Add settings, caller interface and trace set-up

Cause: the daemon needs a checked INI file, an HTTP/JSON interface with typed problems and a trace context on every hop before the parts can be wired.

Settings report every problem at once with file, section, key, value and what is accepted; unknown and repeated keys are refused because they are mostly typing errors that would leave a default in force.

--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,345 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"k8s.io/klog/v2"
+)
+
+const (
+	problemMediaType = "application/problem+json"
+	maxHeaderBytes   = 16 << 10
+	// overloadRetryAfter is the wait asked of callers refused by the
+	// concurrency limit.
+	overloadRetryAfter = 200 * time.Millisecond
+	// idleTimeout closes connections that the balancer keeps without use.
+	idleTimeout = 2 * time.Minute
+)
+
+// Limits bound what a caller can make the server hold.
+type Limits struct {
+	BodyBytes          int
+	ConcurrentRequests int
+	HeaderTimeout      time.Duration
+	BodyTimeout        time.Duration
+	// LongestDeadline bounds the time to write an answer as well.
+	LongestDeadline time.Duration
+}
+
+// Server serves the interface over HTTP.
+type Server struct {
+	service  Service
+	limits   Limits
+	registry metrics.Registry
+	slots    chan struct{}
+	http     *http.Server
+	tracer   trace.Tracer
+}
+
+// NewServer returns a server for service. Metrics of registry are served at
+// /metrics.
+func NewServer(service Service, limits Limits, registry metrics.Registry) *Server {
+	s := &Server{
+		service:  service,
+		limits:   limits,
+		registry: registry,
+		slots:    make(chan struct{}, limits.ConcurrentRequests),
+		tracer:   otel.Tracer("marigoldlever/api"),
+	}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		ReadTimeout:       limits.HeaderTimeout + limits.BodyTimeout,
+		WriteTimeout:      limits.HeaderTimeout + limits.BodyTimeout + 2*limits.LongestDeadline,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return s
+}
+
+// Serve accepts connections until Shutdown is called.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops accepting connections and waits for running requests.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = s.writeError
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.readyz)
+	e.GET("/metrics", s.metrics)
+	e.GET("/status", s.status)
+	e.GET("/v1/configuration", s.configuration)
+	e.GET("/v1/configuration/history", s.history)
+	e.GET("/v1/configuration/:number", s.configuration)
+	e.POST("/v1/configuration/patches", s.patch)
+	e.POST("/v1/query", s.query, s.limitConcurrency)
+	e.POST("/v1/execute", s.execute, s.limitConcurrency)
+	return e
+}
+
+// limitConcurrency refuses requests above the limit at once, before their body
+// is read, so that overload costs little.
+func (s *Server) limitConcurrency(next echo.HandlerFunc) echo.HandlerFunc {
+	refused := metrics.GetOrRegisterCounter("api.refused.concurrency", s.registry)
+	return func(c echo.Context) error {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+			return next(c)
+		default:
+			refused.Inc(1)
+			p := NewProblem(KindOverloaded, "%d requests are running on this host", s.limits.ConcurrentRequests)
+			p.WithRetry(true, overloadRetryAfter).WithRun(refusedRun(c.Request()))
+			return p
+		}
+	}
+}
+
+// refusedRun tells what is known about a request that is refused before the
+// journal was read. A resend may follow a submission that ran, so only the first
+// submission of a key, or a query, surely did not run.
+func refusedRun(r *http.Request) Run {
+	if r.Header.Get(HeaderIdempotencyKey) == "" || r.Header.Get(HeaderSubmissionNumber) == "1" {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
+func (s *Server) query(c echo.Context) error {
+	var q QueryRequest
+	if err := s.decode(c, &q); err != nil {
+		return err
+	}
+	q.RequestID = requestID(c)
+	ctx, span := s.startSpan(c, "query", q.RequestID)
+	defer span.End()
+	span.SetAttributes(attribute.String("contract", q.Contract))
+	started := time.Now()
+	answer, err := s.service.Query(ctx, q)
+	s.observe("query", q.RequestID, span, started, err)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) execute(c echo.Context) error {
+	var e ExecuteRequest
+	if err := s.decode(c, &e); err != nil {
+		return err
+	}
+	e.Key = c.Request().Header.Get(HeaderIdempotencyKey)
+	if e.Key == "" {
+		return NewProblem(KindInvalid, "header %s is missing", HeaderIdempotencyKey).WithRetry(false, 0)
+	}
+	if n := c.Request().Header.Get(HeaderSubmissionNumber); n != "" {
+		number, err := strconv.Atoi(n)
+		if err != nil || number < 1 {
+			return NewProblem(KindInvalid, "header %s: %q is not a whole number from 1", HeaderSubmissionNumber, n).
+				WithRetry(false, 0).WithRun(MayHaveRun)
+		}
+		e.SubmissionNumber = number
+	}
+	e.RequestID = requestID(c)
+	ctx, span := s.startSpan(c, "execute", e.RequestID)
+	defer span.End()
+	span.SetAttributes(attribute.String("service", e.Service))
+	started := time.Now()
+	answer, err := s.service.Execute(ctx, e)
+	s.observe("execute", e.RequestID, span, started, err)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) patch(c echo.Context) error {
+	var p PatchRequest
+	if err := s.decode(c, &p); err != nil {
+		return err
+	}
+	ctx, span := s.startSpan(c, "patch", requestID(c))
+	defer span.End()
+	answer, err := s.service.Patch(ctx, p)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("Configuration patch accepted", "patch", p.ID, "base", p.Base, "number", answer.Number, "author", p.Author)
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) configuration(c echo.Context) error {
+	var number uint64
+	if text := c.Param("number"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || n == 0 {
+			return NewProblem(KindInvalid, "%q is not a configuration number", text).WithRetry(false, 0)
+		}
+		number = n
+	}
+	answer, err := s.service.Configuration(c.Request().Context(), number)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) history(c echo.Context) error {
+	entries, err := s.service.History(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, entries)
+}
+
+func (s *Server) status(c echo.Context) error {
+	status, err := s.service.Status(c.Request().Context(), c.QueryParam("all") == "true")
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, status)
+}
+
+func (s *Server) readyz(c echo.Context) error {
+	ready, reason := s.service.Ready()
+	if !ready {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (s *Server) metrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+	metrics.WriteJSONOnce(s.registry, c.Response())
+	return nil
+}
+
+// decode reads a JSON body that is bounded in size, with unknown fields refused.
+func (s *Server) decode(c echo.Context, into any) error {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, int64(s.limits.BodyBytes))
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	if err == nil {
+		err = endOfBody(decoder)
+	}
+	if err == nil {
+		return nil
+	}
+	run := refusedRun(c.Request())
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return NewProblem(KindTooLarge, "the body is larger than %d bytes", s.limits.BodyBytes).WithRetry(false, 0).WithRun(run)
+	}
+	return NewProblem(KindInvalid, "body: %v", err).WithRetry(false, 0).WithRun(run)
+}
+
+func endOfBody(decoder *json.Decoder) error {
+	_, err := decoder.Token()
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	if err == nil {
+		return errors.New("more than one JSON value")
+	}
+	return err
+}
+
+func (s *Server) startSpan(c echo.Context, name, id string) (context.Context, trace.Span) {
+	ctx := otel.GetTextMapPropagator().Extract(c.Request().Context(), propagation.HeaderCarrier(c.Request().Header))
+	ctx, span := s.tracer.Start(ctx, "caller."+name, trace.WithSpanKind(trace.SpanKindServer))
+	span.SetAttributes(attribute.String("request_id", id))
+	c.Response().Header().Set(HeaderRequestID, id)
+	return ctx, span
+}
+
+func (s *Server) observe(name, id string, span trace.Span, started time.Time, err error) {
+	metrics.GetOrRegisterTimer("api."+name, s.registry).UpdateSince(started)
+	if err == nil {
+		return
+	}
+	p := asProblem(err)
+	metrics.GetOrRegisterCounter("api."+name+".problem."+string(p.Kind), s.registry).Inc(1)
+	span.SetAttributes(attribute.String("problem", string(p.Kind)))
+	klog.V(1).InfoS("Request refused", "request", name, "requestID", id,
+		"traceID", span.SpanContext().TraceID(), "kind", p.Kind, "run", p.Run, "detail", p.Detail)
+}
+
+var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
+
+// requestID returns the caller's request id if it is well formed, otherwise a
+// new one.
+func requestID(c echo.Context) string {
+	id := c.Request().Header.Get(HeaderRequestID)
+	if requestIDPattern.MatchString(id) {
+		return id
+	}
+	return uuid.NewString()
+}
+
+func asProblem(err error) *Problem {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) && he.Code < http.StatusInternalServerError {
+		problem := NewProblem(KindNotFound, "%v", he.Message).WithRetry(false, 0)
+		problem.Status = he.Code
+		problem.Title = http.StatusText(he.Code)
+		return problem
+	}
+	return NewProblem(KindInternal, "%v", err).WithRun(MayHaveRun).WithRetry(false, 0)
+}
+
+func (s *Server) writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	p := *asProblem(err)
+	if p.Kind == KindInternal {
+		klog.ErrorS(err, "Request failed", "path", c.Path())
+	}
+	if p.RequestID == "" {
+		p.RequestID = c.Response().Header().Get(HeaderRequestID)
+	}
+	if p.RetryAfterMS > 0 {
+		seconds := (p.RetryAfterMS + 999) / 1000
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	body, encodeErr := json.Marshal(p)
+	if encodeErr != nil {
+		klog.ErrorS(encodeErr, "Cannot encode problem")
+		body = []byte(`{"kind":"internal","run":"may_have_run"}`)
+	}
+	if err := c.Blob(p.Status, problemMediaType, body); err != nil {
+		klog.V(1).InfoS("Cannot send problem to caller", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,236 @@
+// Package settings reads a daemon's settings from an INI file and checks them as
+// a whole before anything starts.
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	Host       Host
+	Platform   Platform
+	Peers      Peers
+	Limits     Limits
+	Ownership  Ownership
+	Membership Membership
+	Once       Once
+	Drain      Drain
+	Policy     Policy
+	Trace      Trace
+}
+
+// Host names this host and the addresses that it listens on.
+type Host struct {
+	ID            string
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+}
+
+// Platform tells how to reach the platform and how many calls this host may make.
+type Platform struct {
+	Address         string
+	Timeout         time.Duration
+	ReadsPerSecond  int
+	WritesPerSecond int
+}
+
+// Peers lists peer addresses to contact when the host list can't be reached.
+type Peers struct {
+	Seeds []string
+}
+
+// Limits bound what callers can make a daemon hold.
+type Limits struct {
+	BodyBytes          int
+	ConcurrentRequests int
+	HeaderTimeout      time.Duration
+	BodyTimeout        time.Duration
+	LongestDeadline    time.Duration
+}
+
+// Ownership sets how long a right to upstream slots lasts without proof.
+type Ownership struct {
+	Lease time.Duration
+}
+
+// Membership sets the heartbeat between hosts.
+type Membership struct {
+	Period time.Duration
+}
+
+// Once sets the journals of non-idempotent requests.
+type Once struct {
+	Journals   int
+	MaximumAge time.Duration
+	ClockError time.Duration
+}
+
+// Drain sets the times of a planned stop.
+type Drain struct {
+	BalancerLag time.Duration
+	Grace       time.Duration
+}
+
+// Policy selects how replicas are chosen and when hedges are sent.
+type Policy struct {
+	Choice        string
+	Hedge         string
+	HedgeDelay    time.Duration
+	HedgeQuantile float64
+	ExtraLoad     float64
+}
+
+// Trace tells where trace spans go.
+type Trace struct {
+	File        string
+	OTLPAddress string
+	Sample      float64
+}
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File     string
+	Section  string
+	Key      string
+	Value    string
+	Accepted string
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: [%s] %s = %q: accepted is %s", p.File, p.Section, p.Key, p.Value, p.Accepted)
+}
+
+// Problems are all faults of a settings file.
+type Problems []Problem
+
+// Error lists every problem on a line of its own.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks the settings in file. When the file can be parsed, the
+// error is of type Problems and lists every fault.
+func Load(file string) (Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, file)
+	if err != nil {
+		return Settings{}, errors.Wrapf(err, "read settings %s", file)
+	}
+	return parse(file, f)
+}
+
+// Parse checks settings given as text; name stands for the file in problems.
+func Parse(name string, text []byte) (Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, text)
+	if err != nil {
+		return Settings{}, errors.Wrapf(err, "read settings %s", name)
+	}
+	return parse(name, f)
+}
+
+func parse(name string, f *ini.File) (Settings, error) {
+	var s Settings
+	known := keysOf(&s)
+	problems := unknownKeys(name, f, known)
+	for _, k := range known {
+		value, given := lookUp(f, k)
+		if !given {
+			value = k.standard
+		}
+		if shadowed(f, k) {
+			problems = append(problems, Problem{name, k.section, k.name, value, "one value, but the key is given more than once"})
+			continue
+		}
+		if !given && k.required {
+			problems = append(problems, Problem{name, k.section, k.name, "", k.accepted + " (required)"})
+			continue
+		}
+		if !k.set(value) {
+			problems = append(problems, Problem{name, k.section, k.name, value, k.accepted})
+		}
+	}
+	if len(problems) == 0 {
+		problems = append(problems, contradictions(name, s)...)
+	}
+	if len(problems) > 0 {
+		return Settings{}, problems
+	}
+	return s, nil
+}
+
+// contradictions checks keys against each other.
+func contradictions(name string, s Settings) Problems {
+	var problems Problems
+	if s.Host.CallerAddress == s.Host.PeerAddress {
+		problems = append(problems, Problem{name, "host", "peer_address", s.Host.PeerAddress,
+			"an address other than caller_address"})
+	}
+	if s.Drain.Grace <= s.Drain.BalancerLag {
+		problems = append(problems, Problem{name, "drain", "grace", s.Drain.Grace.String(),
+			"a duration above balancer_lag (" + s.Drain.BalancerLag.String() + ")"})
+	}
+	if s.Membership.Period*3 > s.Ownership.Lease {
+		problems = append(problems, Problem{name, "membership", "period", s.Membership.Period.String(),
+			"at most a third of the ownership lease (" + s.Ownership.Lease.String() + "), so that proofs arrive in time"})
+	}
+	return problems
+}
+
+func lookUp(f *ini.File, k key) (string, bool) {
+	section, err := f.GetSection(k.section)
+	if err != nil || !section.HasKey(k.name) {
+		return "", false
+	}
+	return section.Key(k.name).String(), true
+}
+
+func shadowed(f *ini.File, k key) bool {
+	section, err := f.GetSection(k.section)
+	return err == nil && section.HasKey(k.name) && len(section.Key(k.name).ValueWithShadows()) > 1
+}
+
+// unknownKeys refuses what no key of the daemon reads: it is most often a typing
+// error that would leave a default in force unnoticed.
+func unknownKeys(name string, f *ini.File, known []key) Problems {
+	names := make(map[string][]string)
+	for _, k := range known {
+		names[k.section] = append(names[k.section], k.name)
+	}
+	var problems Problems
+	for _, section := range f.Sections() {
+		for _, k := range section.Keys() {
+			if containsName(names[section.Name()], k.Name()) {
+				continue
+			}
+			problems = append(problems, Problem{name, section.Name(), k.Name(), k.String(), acceptedNames(section.Name(), names)})
+		}
+	}
+	return problems
+}
+
+func acceptedNames(section string, names map[string][]string) string {
+	if keys, ok := names[section]; ok {
+		return "one of the keys " + strings.Join(keys, ", ")
+	}
+	return "one of the sections " + strings.Join(sectionNames, ", ")
+}
+
+func containsName(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
