Add the stand-in for the platform

Trials and tests need a platform that fails in the ways that the requirements name. The stand-in serves the platform's protocol and keeps the history of accepted writes; outages, held calls, delays before and after the change, lost answers, cut data centres, a lagging host list and call rates can be switched while it runs. Direct gives the same behaviour in process, so that tests can run in a synctest bubble.

--- /dev/null
+++ b/internal/standin/platformstandin/admin.go
@@ -0,0 +1,44 @@
+package platformstandin
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// handleAdmin adds the control: PUT and GET /admin/faults, GET /admin/history
+// (with ?object=NAME for one object and ?values=true for the values), GET
+// /admin/counts and GET /admin/hosts. No fault acts on it.
+func (p *Platform) handleAdmin(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /admin/faults", p.servePutFaults)
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Faults()) })
+	mux.HandleFunc("GET /admin/history", p.serveHistory)
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
+	mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.CurrentHosts()) })
+}
+
+// servePutFaults replaces all faults. An unknown field is refused, since a
+// misspelt fault would make a trial pass without its fault.
+func (p *Platform) servePutFaults(w http.ResponseWriter, r *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	var f Faults
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFaults(f)
+	writeJSON(w, f)
+}
+
+func (p *Platform) serveHistory(w http.ResponseWriter, r *http.Request) {
+	writes := p.History()
+	if name := r.URL.Query().Get("object"); name != "" {
+		writes = p.HistoryOf(name)
+	}
+	if r.URL.Query().Get("values") != "true" {
+		for i := range writes {
+			writes[i].Value = nil
+		}
+	}
+	writeJSON(w, writes)
+}
--- /dev/null
+++ b/internal/standin/platformstandin/direct.go
@@ -0,0 +1,100 @@
+package platformstandin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// directWatchWait is the poll length of Direct, that of the HTTP client.
+const directWatchWait = 10 * time.Second
+
+// Direct is in-process access from one data centre. It behaves as the HTTP
+// client does, without sockets and without a call budget.
+type Direct struct {
+	platform   *Platform
+	dataCentre string
+}
+
+var (
+	_ platform.Store    = (*Direct)(nil)
+	_ platform.HostList = (*Direct)(nil)
+)
+
+// Direct returns in-process access from the data centre.
+func (p *Platform) Direct(dataCentre string) *Direct {
+	return &Direct{platform: p, dataCentre: dataCentre}
+}
+
+// Get implements platform.Store.
+func (d *Direct) Get(ctx context.Context, name string) (platform.Object, error) {
+	o, err := d.platform.get(ctx, d.dataCentre, name)
+	return readResult(o, err)
+}
+
+// Watch implements platform.Store.
+func (d *Direct) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+	o, err := d.platform.watch(ctx, d.dataCentre, name, after, directWatchWait)
+	return readResult(o, err)
+}
+
+// Put implements platform.Store.
+func (d *Direct) Put(ctx context.Context, name string, base uint64, value []byte) (platform.Object, error) {
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, errors.WithStack(platform.ErrTooLarge)
+	}
+	o, err := d.platform.put(ctx, d.dataCentre, name, base, value)
+	if errors.Is(err, platform.ErrConflict) {
+		return o, errors.WithStack(err)
+	}
+	if err != nil {
+		return platform.Object{}, writeFailure(err)
+	}
+	return o, nil
+}
+
+// Hosts implements platform.HostList.
+func (d *Direct) Hosts(ctx context.Context) ([]platform.Host, error) {
+	hosts, err := d.platform.listHosts(ctx, d.dataCentre)
+	if err != nil {
+		return nil, readFailure(err)
+	}
+	return hosts, nil
+}
+
+// Register implements platform.HostList.
+func (d *Direct) Register(ctx context.Context, h platform.Host) error {
+	return writeFailure(d.platform.writeHost(ctx, d.dataCentre, h.ID, &h))
+}
+
+// Deregister implements platform.HostList.
+func (d *Direct) Deregister(ctx context.Context, id string) error {
+	return writeFailure(d.platform.writeHost(ctx, d.dataCentre, id, nil))
+}
+
+func readResult(o platform.Object, err error) (platform.Object, error) {
+	if err != nil {
+		return platform.Object{}, readFailure(err)
+	}
+	return o, nil
+}
+
+// readFailure converts an error of a read.
+func readFailure(err error) error {
+	if errors.IsAny(err, errCut, errOutage, errOverRate) {
+		return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+	}
+	return err
+}
+
+// writeFailure converts an error of a write. A cut may have come after the
+// write took effect.
+func writeFailure(err error) error {
+	if errors.Is(err, errCut) {
+		return errors.Wrapf(platform.ErrUnknownOutcome, "%v", err)
+	}
+	return readFailure(err)
+}
--- /dev/null
+++ b/internal/standin/platformstandin/platform_test.go
@@ -0,0 +1,236 @@
+package platformstandin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/platform/platformhttp"
+)
+
+// access is what the HTTP client and Direct have in common.
+type access interface {
+	platform.Store
+	platform.HostList
+}
+
+// eachAccess runs the test in process and over HTTP, so that the two cannot
+// drift apart.
+func eachAccess(t *testing.T, run func(t *testing.T, p *Platform, from func(dataCentre string) access)) {
+	t.Run("direct", func(t *testing.T) {
+		p := New(1, Faults{})
+		run(t, p, func(dataCentre string) access { return p.Direct(dataCentre) })
+	})
+	t.Run("http", func(t *testing.T) {
+		p := New(1, Faults{})
+		server := httptest.NewServer(p.Handler())
+		defer server.Close()
+		run(t, p, func(dataCentre string) access {
+			rate := platformhttp.Rate{PerSecond: 1e6, Burst: 1e6}
+			c, err := platformhttp.New(platformhttp.Config{
+				BaseURL: server.URL, DataCentre: dataCentre, Reads: rate, Writes: rate,
+				WatchWait: 20 * time.Millisecond,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c
+		})
+	})
+}
+
+func wantError(t *testing.T, what string, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Errorf("%s: error %v, want %v", what, err, want)
+	}
+}
+
+// Guards against an update that is accepted on a stale base, and against a
+// conflict that hides the current version.
+func TestConditionalUpdate(t *testing.T) {
+	eachAccess(t, func(t *testing.T, p *Platform, from func(string) access) {
+		s := from("bole")
+		_, err := s.Get(t.Context(), "a/b")
+		wantError(t, "absent", err, platform.ErrNotFound)
+		o, err := s.Put(t.Context(), "a/b", 0, []byte("one"))
+		if err != nil || o.Version != 1 {
+			t.Fatalf("create: %+v, %v", o, err)
+		}
+		o, err = s.Put(t.Context(), "a/b", 0, []byte("two"))
+		wantError(t, "stale base", err, platform.ErrConflict)
+		if o.Version != 1 {
+			t.Errorf("conflict states version %d, want 1", o.Version)
+		}
+		_, err = s.Put(t.Context(), "a/b", 1, make([]byte, platform.MaxValueBytes+1))
+		wantError(t, "large value", err, platform.ErrTooLarge)
+		o, err = s.Get(t.Context(), "a/b")
+		if err != nil || string(o.Value) != "one" || o.Version != 1 || o.Name != "a/b" {
+			t.Errorf("read back %+v, %v", o, err)
+		}
+		if h := p.HistoryOf("a/b"); len(h) != 1 || h[0].DataCentre != "bole" || string(h[0].Value) != "one" {
+			t.Errorf("history %+v", h)
+		}
+	})
+}
+
+// Guards against faults that the client reports with the wrong certainty, and
+// against a lost answer whose change is not applied.
+func TestFaults(t *testing.T) {
+	eachAccess(t, func(t *testing.T, p *Platform, from func(string) access) {
+		s := from("bole")
+		put := func(base uint64) error { _, err := s.Put(t.Context(), "a", base, []byte("v")); return err }
+		get := func() error { _, err := s.Get(t.Context(), "a"); return err }
+		p.SetFaults(Faults{Outage: true})
+		wantError(t, "put in outage", put(0), platform.ErrUnavailable)
+		wantError(t, "get in outage", get(), platform.ErrUnavailable)
+		p.SetFaults(Faults{LoseNext: 1, LosePrefix: "a"})
+		wantError(t, "lost answer", put(0), platform.ErrUnknownOutcome)
+		wantError(t, "applied all the same", put(0), platform.ErrConflict)
+		p.SetFaults(Faults{Cut: []string{"bole"}})
+		wantError(t, "put while cut", put(1), platform.ErrUnknownOutcome)
+		wantError(t, "get while cut", get(), platform.ErrUnavailable)
+		if _, err := from("kality").Put(t.Context(), "a", 1, nil); err != nil {
+			t.Errorf("another data centre while one is cut: %v", err)
+		}
+		if n := len(p.HistoryOf("a")); n != 2 {
+			t.Errorf("%d accepted writes, want 2", n)
+		}
+	})
+}
+
+// Guards against a platform that accepts more calls than its rate, or that
+// charges reads against writes.
+func TestCallRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(1, Faults{WritesPerSecond: 2, ReadsPerSecond: 1})
+		s := p.Direct("bole")
+		for second := range 3 {
+			for _, want := range []error{nil, platform.ErrConflict, platform.ErrUnavailable} {
+				_, err := s.Put(t.Context(), "a", uint64(second), nil)
+				wantError(t, "put", err, want)
+			}
+			_, err := s.Get(t.Context(), "a")
+			wantError(t, "get within the rate", err, nil)
+			_, err = s.Hosts(t.Context())
+			wantError(t, "list over the rate", err, platform.ErrUnavailable)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against a watch that misses a change, reports none, or claims that
+// nothing changed when a fault ended it.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(1, Faults{})
+		s := p.Direct("bole")
+		type result struct {
+			o   platform.Object
+			err error
+		}
+		watch := func(after uint64) <-chan result {
+			c := make(chan result, 1)
+			go func() {
+				o, err := s.Watch(context.Background(), "a", after)
+				c <- result{o, err}
+			}()
+			synctest.Wait()
+			return c
+		}
+		created := watch(0)
+		s.Put(t.Context(), "other", 0, nil)
+		s.Put(t.Context(), "a", 0, []byte("v"))
+		if r := <-created; r.err != nil || r.o.Version != 1 {
+			t.Errorf("creation: %+v", r)
+		}
+		start := time.Now()
+		wantError(t, "no change", (<-watch(1)).err, platform.ErrTimeout)
+		if got := time.Since(start); got != directWatchWait {
+			t.Errorf("poll took %v", got)
+		}
+		cut := watch(1)
+		p.ChangeFaults(func(f *Faults) { f.Cut = []string{"bole"} })
+		wantError(t, "cut", (<-cut).err, platform.ErrUnavailable)
+		p.SetFaults(Faults{})
+		outage := watch(1)
+		p.SetFaults(Faults{Outage: true})
+		wantError(t, "outage", (<-outage).err, platform.ErrUnavailable)
+	})
+}
+
+// Guards against delays and holds on the wrong side of the change: a slow
+// answer must leave the change visible, a held call must not apply it.
+func TestSlowAndHeldCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(1, Faults{DelayAfterMS: 1000})
+		s := p.Direct("bole")
+		late := make(chan error, 1)
+		go func() { _, err := s.Put(context.Background(), "a", 0, nil); late <- err }()
+		synctest.Wait()
+		if len(p.History()) != 1 {
+			t.Error("the change is not applied while its answer is delayed")
+		}
+		p.ChangeFaults(func(f *Faults) { f.Cut = []string{"bole"}; f.CutHangs = true })
+		wantError(t, "cut while the answer is under way", <-late, platform.ErrUnknownOutcome)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := s.Put(ctx, "a", 1, nil)
+		wantError(t, "held call", err, platform.ErrUnknownOutcome)
+		if len(p.History()) != 1 {
+			t.Error("a held call was applied")
+		}
+	})
+}
+
+// Guards against a host list without its lag, which would hide faults that an
+// out-of-date list causes.
+func TestHostListLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(1, Faults{HostListLagMS: 5000})
+		s := p.Direct("bole")
+		if err := s.Register(t.Context(), platform.Host{ID: "h1", Role: platform.RoleEntry}); err != nil {
+			t.Fatal(err)
+		}
+		if hosts, _ := s.Hosts(t.Context()); len(hosts) != 0 {
+			t.Errorf("list shows %v at once", hosts)
+		}
+		time.Sleep(5 * time.Second)
+		if hosts, _ := s.Hosts(t.Context()); len(hosts) != 1 {
+			t.Errorf("list shows %v after the lag", hosts)
+		}
+		s.Deregister(t.Context(), "h1")
+		if hosts, _ := s.Hosts(t.Context()); len(hosts) != 1 || len(p.CurrentHosts()) != 0 {
+			t.Errorf("list shows %v after removal, without lag %v", hosts, p.CurrentHosts())
+		}
+	})
+}
+
+// Guards against a control that accepts a misspelt fault.
+func TestAdmin(t *testing.T) {
+	p := New(1, Faults{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	put := func(body string) int {
+		req, _ := http.NewRequest(http.MethodPut, server.URL+"/admin/faults", strings.NewReader(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if code := put(`{"outage":true,"cut":["bole"]}`); code != http.StatusOK || !p.Faults().Outage {
+		t.Errorf("status %d, faults %+v", code, p.Faults())
+	}
+	if code := put(`{"outrage":true}`); code != http.StatusBadRequest {
+		t.Errorf("misspelt fault: status %d", code)
+	}
+}
