Add the connections between daemons

Cause: entries, owners and members need calls in both directions over one connection per pair, with errors that tell a message that was surely not run from one whose answer was lost.

Change: package peer runs sourcegraph/jsonrpc2 over TCP. A node states its own listening address when it dials, so that the accepting node calls back on the same connection; if both dial at once, both keep the link that the node with the smaller address dialled. Retired links (simultaneous dial, idle, closing) are closed with a bye from both sides, sent only when the sender has nothing in progress on the link.

--- /dev/null
+++ b/peer/envelope.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// packAboveBytes is the body size from which a body is compressed into a JSON
+// string. jsonrpc2 parses a message several times on the connection's read
+// loop; scanning a short string is cheaper than parsing a large document there.
+const packAboveBytes = 32 << 10
+
+// envelope wraps the parameters of a request and the result of an answer.
+type envelope struct {
+	Traceparent string `json:"traceparent,omitempty"`
+	// DeadlineMS is the time left to the caller's deadline; 0 if it has none.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// Exactly one of Body and Packed (gzip) holds the content.
+	Body   json.RawMessage `json:"body,omitempty"`
+	Packed []byte          `json:"packed,omitempty"`
+}
+
+// seal encodes v into an envelope without trace and deadline.
+func seal(v any, maxBytes int) (envelope, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return envelope{}, errors.Wrap(err, "encode message")
+	}
+	if len(body) > maxBytes {
+		return envelope{}, errors.Wrapf(ErrTooLarge, "%d bytes", len(body))
+	}
+	if len(body) < packAboveBytes {
+		return envelope{Body: body}, nil
+	}
+	packed, err := pack(body)
+	if err != nil {
+		return envelope{}, errors.Wrap(err, "compress message")
+	}
+	return envelope{Packed: packed}, nil
+}
+
+// open returns the encoded content.
+func (e envelope) open(maxBytes int) (json.RawMessage, error) {
+	if len(e.Packed) == 0 {
+		return e.Body, nil
+	}
+	return unpack(e.Packed, maxBytes)
+}
+
+// size estimates the encoded size of the envelope.
+func (e envelope) size() int {
+	const overheadBytes = 256
+	return overheadBytes + len(e.Body) + len(e.Packed)*4/3
+}
+
+func pack(body []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(packed []byte, maxBytes int) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress message")
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(maxBytes)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress message")
+	}
+	if len(body) > maxBytes {
+		return nil, errors.Wrap(ErrTooLarge, "decompressed message")
+	}
+	return body, nil
+}
+
+// stamp adds the caller's trace context and time left.
+func (e *envelope) stamp(ctx context.Context) {
+	e.Traceparent = Traceparent(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		// At least 1 ms, since 0 stands for no deadline.
+		e.DeadlineMS = max(1, time.Until(deadline).Milliseconds())
+	}
+}
+
+// context derives the handler's context from the connection's.
+func (e envelope) context(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx := parent
+	if e.Traceparent != "" {
+		ctx = WithTraceparent(ctx, e.Traceparent)
+	}
+	if e.DeadlineMS <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(e.DeadlineMS)*time.Millisecond)
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,329 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+)
+
+// Methods that the nodes use among themselves.
+const (
+	// methodHello states the dialling node's own listening address, so that the
+	// accepting node can use the connection for its calls.
+	methodHello = "peer.hello"
+	// methodBye states that the sender starts nothing more on the connection.
+	methodBye = "peer.bye"
+)
+
+// notificationWait is how long the read loop waits for a free handler before it
+// drops a notification. The wait slows down a peer that sends too fast; it is
+// bounded since handlers may wait for answers that the same loop has to read.
+const notificationWait = 100 * time.Millisecond
+
+type hello struct {
+	Address string `json:"address"`
+}
+
+// link is one connection.
+type link struct {
+	node    *Node
+	rpc     *jsonrpc2.Conn
+	stream  *stream
+	dialled bool
+	ready   chan struct{} // closed when rpc is set
+	calls   chan struct{} // one element per call in flight
+	running chan struct{} // one element per handler that runs
+
+	// Guarded by Node.mu.
+	remote   string
+	sending  int // calls and notifications of this side in progress
+	handling int // handlers in progress
+	used     time.Time
+	retired  bool          // this side starts nothing more
+	byeSent  chan struct{} // closed when the bye is queued; nil before
+	peerDone bool          // the peer starts nothing more
+}
+
+// active returns what is in progress. The caller holds Node.mu.
+func (l *link) active() int { return l.sending + l.handling }
+
+// open starts a link on a connection. A dialled link is registered at once, an
+// accepted one when the peer has said hello.
+func (n *Node) open(conn net.Conn, address string, dialled bool) (*link, error) {
+	l := &link{
+		node:    n,
+		stream:  newStream(conn, n.cfg, &n.count.sent, &n.count.received),
+		dialled: dialled,
+		ready:   make(chan struct{}),
+		calls:   make(chan struct{}, n.cfg.MaxCalls),
+		running: make(chan struct{}, n.cfg.MaxHandlers),
+		used:    time.Now(),
+	}
+	n.mu.Lock()
+	own := n.address
+	n.all[l] = struct{}{}
+	n.mu.Unlock()
+	l.rpc = jsonrpc2.NewConn(n.ctx, l.stream, l, jsonrpc2.SetLogger(logger{}))
+	close(l.ready)
+	go l.forgetWhenClosed()
+	if !dialled {
+		return l, nil
+	}
+	if err := l.rpc.Notify(n.ctx, methodHello, hello{Address: own}); err != nil {
+		return nil, errors.Wrap(err, "say hello")
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.register(l, address)
+	return l, nil
+}
+
+type logger struct{}
+
+// Printf passes jsonrpc2's messages on; a reset connection is no error here.
+func (logger) Printf(format string, v ...interface{}) {
+	klog.V(2).Infof(format, v...)
+}
+
+func (l *link) forgetWhenClosed() {
+	<-l.rpc.DisconnectNotify()
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	delete(l.node.all, l)
+	if l.node.current[l.remote] == l {
+		delete(l.node.current, l.remote)
+	}
+	l.node.checkIdle()
+}
+
+// register makes l the link for new messages to address. If both nodes dialled
+// at the same time, both keep the link that the node with the smaller address
+// dialled. Of two links that the same node dialled the newer one is kept, since
+// the older one is then broken or being retired. The caller holds n.mu.
+func (n *Node) register(l *link, address string) {
+	l.remote = address
+	if _, open := n.all[l]; !open || l.retired {
+		return
+	}
+	old := n.current[address]
+	if old != nil && old != l && old.dialled != l.dialled && old.dialled == (n.address < address) {
+		n.retire(l)
+		return
+	}
+	n.current[address] = l
+	if old != nil && old != l {
+		n.retire(old)
+	}
+}
+
+// retire starts nothing more on l and closes it once both sides are done. The
+// caller holds n.mu.
+func (n *Node) retire(l *link) {
+	l.retired = true
+	if n.current[l.remote] == l {
+		delete(n.current, l.remote)
+	}
+	n.wind(l)
+}
+
+// wind takes the next step to close a retired link. The bye is sent only when
+// nothing of this side is in progress: it could overtake a request, and the peer
+// would close the connection under it. The caller holds n.mu.
+func (n *Node) wind(l *link) {
+	if !l.retired || l.sending > 0 {
+		return
+	}
+	if l.byeSent == nil {
+		l.byeSent = make(chan struct{})
+		go l.sayBye(l.byeSent)
+	}
+	if l.peerDone && l.handling == 0 {
+		go l.closeAfter(l.byeSent)
+	}
+}
+
+func (l *link) sayBye(sent chan struct{}) {
+	defer close(sent)
+	<-l.ready
+	if err := l.rpc.Notify(l.node.ctx, methodBye, nil); err != nil {
+		_ = l.rpc.Close()
+	}
+}
+
+func (l *link) closeAfter(bye chan struct{}) {
+	<-bye
+	_ = l.rpc.Close()
+}
+
+func (l *link) begin() {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.handling++
+}
+
+func (l *link) endHandling() { l.end(&l.handling) }
+
+// release ends the use that acquire counted.
+func (l *link) release() { l.end(&l.sending) }
+
+func (l *link) end(count *int) {
+	n := l.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	*count--
+	l.used = time.Now()
+	n.wind(l)
+	n.checkIdle()
+}
+
+// Handle implements jsonrpc2.Handler. It runs on the read loop and must not
+// block for long.
+func (l *link) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-l.ready
+	switch req.Method {
+	case methodHello:
+		l.hello(req)
+		return
+	case methodBye:
+		l.bye()
+		return
+	}
+	l.begin()
+	if reason := l.admit(req.Notif); reason != "" {
+		l.refuse(ctx, req, reason)
+		l.endHandling()
+		return
+	}
+	go func() {
+		defer l.endHandling()
+		defer func() { <-l.running }()
+		l.run(ctx, req)
+	}()
+}
+
+func (l *link) hello(req *jsonrpc2.Request) {
+	var h hello
+	if req.Params == nil || json.Unmarshal(*req.Params, &h) != nil || h.Address == "" || l.dialled {
+		return // a peer without address can call but not be called
+	}
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.node.register(l, h.Address)
+	// A peer that can dial is up again; this link replaces a pending pause.
+	delete(l.node.backoff, h.Address)
+}
+
+func (l *link) bye() {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.peerDone = true
+	l.node.retire(l)
+}
+
+// admit takes a handler slot. It returns the reason if the request is refused.
+func (l *link) admit(notification bool) string {
+	l.node.mu.Lock()
+	closing := l.node.closing
+	l.node.mu.Unlock()
+	if closing {
+		return "closing"
+	}
+	select {
+	case l.running <- struct{}{}:
+		return ""
+	default:
+	}
+	if !notification {
+		return "too many requests in progress"
+	}
+	timer := time.NewTimer(notificationWait)
+	defer timer.Stop()
+	select {
+	case l.running <- struct{}{}:
+		return ""
+	case <-timer.C:
+		return "too many notifications in progress"
+	}
+}
+
+func (l *link) refuse(ctx context.Context, req *jsonrpc2.Request, reason string) {
+	if req.Notif {
+		l.node.count.dropped.Add(1)
+		return
+	}
+	l.answerError(ctx, req, CodeRefused, reason)
+}
+
+// run decodes a request, runs its handler and sends the answer.
+func (l *link) run(ctx context.Context, req *jsonrpc2.Request) {
+	n := l.node
+	n.mu.Lock()
+	h := n.handlers[req.Method]
+	from := l.remote
+	n.mu.Unlock()
+	if h == nil {
+		l.answerError(ctx, req, CodeUnknownMethod, "no such method: "+req.Method)
+		return
+	}
+	var e envelope
+	r := Request{Method: req.Method, From: from, Notification: req.Notif}
+	err := errors.New("no parameters")
+	if req.Params != nil {
+		err = json.Unmarshal(*req.Params, &e)
+	}
+	if err == nil {
+		r.body, err = e.open(n.cfg.MaxMessageBytes)
+	}
+	if err != nil {
+		l.answerError(ctx, req, CodeInvalid, err.Error())
+		return
+	}
+	parent := ctx
+	if req.Notif {
+		// The sender may close the connection right after a notification.
+		parent = n.ctx
+	}
+	handlerCtx, cancel := e.context(parent)
+	defer cancel()
+	result, err := h(handlerCtx, r)
+	l.answer(ctx, req, result, err)
+}
+
+func (l *link) answer(ctx context.Context, req *jsonrpc2.Request, result any, err error) {
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		var remote *RemoteError
+		if errors.As(err, &remote) {
+			l.answerError(ctx, req, remote.Code, remote.Message)
+			return
+		}
+		l.answerError(ctx, req, CodeFailed, err.Error())
+		return
+	}
+	e, err := seal(result, l.node.cfg.MaxMessageBytes)
+	if err == nil {
+		err = l.rpc.Reply(ctx, req.ID, e)
+	}
+	if err != nil {
+		l.answerError(ctx, req, CodeTooLarge, err.Error())
+	}
+}
+
+func (l *link) answerError(ctx context.Context, req *jsonrpc2.Request, code int64, message string) {
+	if req.Notif {
+		klog.V(2).InfoS("Peer notification not handled", "method", req.Method, "reason", message)
+		return
+	}
+	err := l.rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: code, Message: message})
+	if err != nil {
+		// The connection is broken; the caller sees that by itself.
+		klog.V(2).InfoS("Peer answer not sent", "method", req.Method, "err", err)
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,307 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// waitLimit ends a test that hangs; no test depends on it to pass.
+const waitLimit = 20 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func startNode(t *testing.T, cfg Config, handlers map[string]Handler) *Node {
+	t.Helper()
+	n := NewNode(cfg)
+	for method, h := range handlers {
+		n.Handle(method, h)
+	}
+	if err := n.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = n.Close(ctx)
+	})
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+func echo(_ context.Context, r Request) (any, error) {
+	var s string
+	err := r.Decode(&s)
+	return s, err
+}
+
+// Guards against a second connection for the way back, and against trace
+// context, deadline or sender getting lost.
+func TestBothSidesCallOnOneConnection(t *testing.T) {
+	ctx := testContext(t)
+	a := startNode(t, Config{}, map[string]Handler{"echo": echo})
+	b := startNode(t, Config{}, map[string]Handler{"who": func(ctx context.Context, r Request) (any, error) {
+		_, ok := ctx.Deadline()
+		if !ok {
+			return nil, errors.New("no deadline")
+		}
+		return []string{r.From, Traceparent(ctx)}, nil
+	}})
+	var got []string
+	if err := a.Call(WithTraceparent(ctx, "00-ab-cd-01"), b.Address(), "who", nil, &got); err != nil {
+		t.Fatal(err)
+	}
+	if got[0] != a.Address() || got[1] != "00-ab-cd-01" {
+		t.Errorf("handler saw %v", got)
+	}
+	var s string
+	if err := b.Call(ctx, a.Address(), "echo", "back", &s); err != nil || s != "back" {
+		t.Fatalf("%q, %v", s, err)
+	}
+	if n := a.Stats().Links + b.Stats().Links; n != 2 {
+		t.Errorf("%d link ends, want 2", n)
+	}
+}
+
+// Guards against nodes that dial each other at the same time and then keep two
+// connections, or close both.
+func TestSimultaneousDialsEndInOneLink(t *testing.T) {
+	ctx := testContext(t)
+	for range 20 {
+		a := startNode(t, Config{}, map[string]Handler{"echo": echo})
+		b := startNode(t, Config{}, map[string]Handler{"echo": echo})
+		var wait sync.WaitGroup
+		for _, p := range [][2]*Node{{a, b}, {b, a}, {a, b}, {b, a}} {
+			wait.Go(func() {
+				if err := p[0].Call(ctx, p[1].Address(), "echo", "x", nil); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wait.Wait()
+		eventually(t, "one link", func() bool { return a.Stats().Links == 1 && b.Stats().Links == 1 })
+		if err := a.Call(ctx, b.Address(), "echo", "x", nil); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against calling a failed dial a lost answer, and against dialling a
+// dead peer for every message.
+func TestConnectErrorAndBackoff(t *testing.T) {
+	ctx := testContext(t)
+	n := startNode(t, Config{BackoffMin: time.Hour, BackoffMax: time.Hour}, nil)
+	gone := startNode(t, Config{}, nil)
+	_ = gone.Close(ctx)
+	for range 3 {
+		err := n.Call(ctx, gone.Address(), "echo", "x", nil)
+		if !errors.Is(err, ErrConnect) || errors.Is(err, ErrBroken) {
+			t.Errorf("error %v", err)
+		}
+	}
+	if d := n.Stats().Dials; d != 1 {
+		t.Errorf("%d dials, want 1", d)
+	}
+}
+
+// Guards against treating a request as never sent when the connection breaks
+// under a running handler, and against handlers that outlive their connection.
+func TestBrokenConnection(t *testing.T) {
+	ctx := testContext(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	b := startNode(t, Config{}, map[string]Handler{"hang": func(ctx context.Context, r Request) (any, error) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	}, "echo": echo})
+	var dialled atomic.Pointer[net.Conn]
+	a := startNode(t, Config{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dialTCP(ctx, address)
+		dialled.Store(&c)
+		return c, err
+	}}, nil)
+	go func() {
+		<-started
+		_ = (*dialled.Load()).Close()
+	}()
+	err := a.Call(ctx, b.Address(), "hang", "x", nil)
+	if !errors.Is(err, ErrBroken) || errors.Is(err, ErrConnect) {
+		t.Errorf("error %v", err)
+	}
+	<-ended
+	if err := a.Call(ctx, b.Address(), "echo", "x", nil); err != nil {
+		t.Errorf("after reconnect: %v", err)
+	}
+}
+
+// Guards against a caller's deadline that frees the caller but not the peer.
+func TestDeadlineReachesHandler(t *testing.T) {
+	ended := make(chan struct{})
+	b := startNode(t, Config{}, map[string]Handler{"hang": func(ctx context.Context, r Request) (any, error) {
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	}})
+	a := startNode(t, Config{}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	err := a.Call(ctx, b.Address(), "hang", "x", nil)
+	var remote *RemoteError
+	if !errors.Is(err, ErrBroken) && !errors.As(err, &remote) {
+		t.Errorf("error %v", err)
+	}
+	<-ended
+}
+
+// Guards against Close cutting off a handler or its answer, and against
+// requests that start during Close.
+func TestCloseLetsHandlersFinish(t *testing.T) {
+	ctx := testContext(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	b := startNode(t, Config{}, map[string]Handler{"slow": func(ctx context.Context, r Request) (any, error) {
+		close(started)
+		<-finish
+		return strings.Repeat("y", 100_000), ctx.Err()
+	}})
+	a := startNode(t, Config{}, nil)
+	answer := make(chan error, 1)
+	var got string
+	go func() { answer <- a.Call(ctx, b.Address(), "slow", "x", &got) }()
+	<-started
+	closed := make(chan error, 1)
+	go func() { closed <- b.Close(ctx) }()
+	eventually(t, "refusal", func() bool {
+		err := a.Call(ctx, b.Address(), "slow", "x", nil)
+		return errors.Is(err, ErrConnect) || errors.Is(err, ErrRefused)
+	})
+	close(finish)
+	if err := <-answer; err != nil || len(got) != 100_000 {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	if err := <-closed; err != nil {
+		t.Errorf("close: %v", err)
+	}
+}
+
+// Guards against unbounded queues and messages, and against limits that are
+// reported as if the request might have run.
+func TestLimits(t *testing.T) {
+	ctx := testContext(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	b := startNode(t, Config{MaxHandlers: 1}, map[string]Handler{"echo": echo,
+		"big": func(context.Context, Request) (any, error) { return strings.Repeat("x", 3<<20), nil },
+		"slow": func(context.Context, Request) (any, error) {
+			close(started)
+			<-finish
+			return nil, &RemoteError{Code: 77, Message: "own"}
+		}})
+	a := startNode(t, Config{}, nil)
+	if err := a.Call(ctx, b.Address(), "echo", strings.Repeat("x", 3<<20), nil); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("too large: %v", err)
+	}
+	var remote *RemoteError
+	if err := a.Call(ctx, b.Address(), "big", nil, nil); !errors.As(err, &remote) || remote.Code != CodeTooLarge {
+		t.Errorf("large result: %v", err)
+	}
+	answer := make(chan error, 1)
+	go func() { answer <- a.Call(ctx, b.Address(), "slow", "x", nil) }()
+	<-started
+	if err := a.Call(ctx, b.Address(), "echo", "x", nil); !errors.Is(err, ErrRefused) {
+		t.Errorf("too many: %v", err)
+	}
+	close(finish)
+	if err := <-answer; !errors.As(err, &remote) || remote.Code != 77 {
+		t.Errorf("handler's error: %v", err)
+	}
+	if err := a.Call(ctx, b.Address(), "none", "x", nil); !errors.As(err, &remote) || remote.Code != CodeUnknownMethod {
+		t.Errorf("unknown method: %v", err)
+	}
+	eventually(t, "free handler", func() bool { return a.Call(ctx, b.Address(), "echo", "x", nil) == nil })
+	large := strings.Repeat("x", 1<<20)
+	var got string
+	if err := a.Call(ctx, b.Address(), "echo", large, &got); err != nil || got != large {
+		t.Errorf("1 MB: %d bytes, %v", len(got), err)
+	}
+}
+
+// Guards against a large message that holds up small ones or other large ones:
+// counts the bytes that reach the wire before each message is complete.
+func TestSmallMessagesOvertakeLargeOnes(t *testing.T) {
+	near, far := net.Pipe()
+	var sent, received atomic.Int64
+	cfg := Config{}.withDefaults()
+	w := newStream(near, cfg, &sent, &received)
+	r := newStream(far, cfg, &sent, &received)
+	messages := map[byte]int{'L': 1 << 20, 'M': 64 << 10, 's': 100}
+	for _, kind := range []byte("LMs") {
+		if err := w.WriteObject(strings.Repeat(string(kind), messages[kind])); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var order []byte
+	before := map[byte]int64{}
+	for range messages {
+		var s string
+		if err := r.ReadObject(&s); err != nil {
+			t.Fatal(err)
+		}
+		order = append(order, s[0])
+		before[s[0]] = received.Load()
+	}
+	if string(order) != "sML" {
+		t.Errorf("order %s", order)
+	}
+	if before['M'] > 3*64<<10 {
+		t.Errorf("64 KB message complete after %d bytes", before['M'])
+	}
+	_ = w.Close()
+	_ = r.Close()
+}
+
+// Guards against a reader that trusts lengths and counts of its peer.
+func TestInvalidFrames(t *testing.T) {
+	huge := []byte{flagLast, 0, 0, 0, 1, 0xff, 0xff, 0xff, 0xff}
+	var parts []byte
+	for i := range byte(maxInterleaved + 1) {
+		parts = append(parts, 0, 0, 0, 0, i, 0, 0, 0, 1, '1')
+	}
+	for name, data := range map[string][]byte{"length": huge, "parts": parts} {
+		near, far := net.Pipe()
+		var count atomic.Int64
+		r := newStream(far, Config{}.withDefaults(), &count, &count)
+		go func() { _, _ = near.Write(data) }()
+		var v json.RawMessage
+		if err := r.ReadObject(&v); !errors.Is(err, errFrame) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		_ = r.Close()
+		_ = near.Close()
+	}
+	bomb, err := pack(make([]byte, 1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := unpack(bomb, 1000); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("bomb: %v", err)
+	}
+}
