once: record non-idempotent requests in journals by group commit

Cause: a payout slip or a permit filing must run at most once per key, and a refusal that says not_run must be true, although hosts keep nothing.

Change: a pure state machine records submissions in journals by conditional update, dispatches only what its own update recorded, settles lost answers by reading back the attempt id, writes tombstones and releases, and records outcomes by later updates. A read at the base version of a lost update does not settle it, because the update may still arrive; the machine then writes from the same base again, so that only one of the two can take effect.

--- /dev/null
+++ b/once/key.go
@@ -0,0 +1,85 @@
+package once
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxKeyBytes bounds a key, so that one entry can't fill a journal.
+	MaxKeyBytes = 80
+	// minRandomBytes is the shortest random part of a key. Two callers that
+	// pick a key in the same millisecond must not meet.
+	minRandomBytes = 8
+)
+
+// ErrKey reports a key that is not of the form <unix milliseconds>-<random>.
+var ErrKey = errors.New("malformed idempotency key")
+
+// Key is a parsed idempotency key.
+type Key struct {
+	Text string
+	Time time.Time // by the clock of the caller that made the key
+}
+
+// NewKey builds a key from the caller's time and random text.
+func NewKey(now time.Time, random string) string {
+	return fmt.Sprintf("%d-%s", now.UnixMilli(), random)
+}
+
+// ParseKey parses a key of the form <unix milliseconds>-<random>. The random
+// part has 8 or more letters, digits or hyphens.
+func ParseKey(text string) (Key, error) {
+	if len(text) > MaxKeyBytes {
+		return Key{}, errors.Wrapf(ErrKey, "longer than %d bytes", MaxKeyBytes)
+	}
+	digits, random, found := strings.Cut(text, "-")
+	if !found || len(random) < minRandomBytes {
+		return Key{}, errors.Wrapf(ErrKey, "random part shorter than %d bytes", minRandomBytes)
+	}
+	for _, c := range random {
+		if !allowedInKey(c) {
+			return Key{}, errors.Wrapf(ErrKey, "character %q is not allowed", c)
+		}
+	}
+	ms, err := strconv.ParseUint(digits, 10, 53)
+	if err != nil || strconv.FormatUint(ms, 10) != digits {
+		return Key{}, errors.Wrap(ErrKey, "no unix milliseconds before the hyphen")
+	}
+	return Key{Text: text, Time: time.UnixMilli(int64(ms))}, nil
+}
+
+func allowedInKey(c rune) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-'
+}
+
+// JournalOf returns the index of the journal, out of n, that holds the key.
+func JournalOf(key string, n int) int {
+	return int(xxhash.Sum64String(key) % uint64(n))
+}
+
+// JournalName returns the object name of a journal.
+func JournalName(journal int) string {
+	return fmt.Sprintf("journal/%02d", journal)
+}
+
+// Writer chooses the host that should write a journal, by rendezvous hashing
+// over the live hosts. It returns "" if there are none. Hosts with different
+// views may choose different writers; that costs conflicts, not correctness.
+func Writer(journal int, hosts []string) string {
+	var best string
+	var bestScore uint64
+	name := JournalName(journal)
+	for _, h := range hosts {
+		score := xxhash.Sum64String(name + "\x00" + h)
+		if best == "" || score > bestScore || score == bestScore && h < best {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/once/place.go
@@ -0,0 +1,115 @@
+package once
+
+import (
+	"encoding/json"
+	"time"
+)
+
+const (
+	// outcomeReserve is the room, in bytes, that is left for the outcome of
+	// each claimed entry: a digest of the result and its field name.
+	outcomeReserve = 32
+	// entryOverhead is the size, in bytes, of an entry without its texts.
+	entryOverhead = 48
+)
+
+// room reports whether an entry of this operation fits below the limit.
+func (m *Machine) room(c *contents, o *op, limit int) bool {
+	size := entryOverhead + len(o.key.Text) + len(o.attempt) + len(o.digest)
+	return c.bytes+len(journalHeader)+1+outcomeReserve*(c.claimed+1)+size <= limit
+}
+
+// placeClaim records a submission.
+func (m *Machine) placeClaim(now time.Time, j *journal, o *op) (placement, []Action) {
+	if !m.cfg.acceptable(now, o.key) {
+		return m.withdraw(o, ReasonKeyAge)
+	}
+	if o.sub.Deadline.Sub(now) < m.cfg.MinDispatch {
+		return m.withdraw(o, ReasonDeadline)
+	}
+	if o.tries >= m.cfg.MaxTries {
+		return m.withdraw(o, ReasonConflict)
+	}
+	if !m.room(j.contents, o, m.cfg.MaxJournalBytes-TombstoneReserve) {
+		if o.sub.first() || o.phase != phaseQueued {
+			return m.withdraw(o, ReasonJournalFull)
+		}
+		o.kind = opTombstone
+		return m.placeTombstone(j, o)
+	}
+	return m.put(j, o, Entry{State: StateClaimed, Attempt: o.attempt, Number: o.sub.Number})
+}
+
+// withdraw refuses a claim that won't be recorded. One whose earlier update is
+// unsettled stays in the journal's list of unsettled operations.
+func (m *Machine) withdraw(o *op, reason Reason) (placement, []Action) {
+	if o.phase == phaseUnsettled {
+		return ended, m.refuse(o, reason, 0)
+	}
+	return m.endRefused(o, reason)
+}
+
+// bury writes a tombstone for a claim that was given up while an update that
+// may carry it is unsettled. If the earlier update took effect instead, the
+// record is found by its attempt id and released.
+func (m *Machine) bury(j *journal, o *op) (placement, []Action) {
+	e := j.contents.index[o.key.Text]
+	if e != nil && !replaceable(o, e) || !m.room(j.contents, o, m.cfg.MaxJournalBytes) {
+		return ended, nil
+	}
+	return m.put(j, o, Entry{State: StateTombstone, Attempt: o.attempt, Number: o.sub.Number})
+}
+
+func (m *Machine) placeTombstone(j *journal, o *op) (placement, []Action) {
+	if o.tries >= m.cfg.MaxTries {
+		return m.endRefused(o, ReasonConflict)
+	}
+	if !m.room(j.contents, o, m.cfg.MaxJournalBytes) {
+		return m.endRefused(o, ReasonJournalFull)
+	}
+	return m.put(j, o, Entry{State: StateTombstone, Attempt: o.attempt, Number: o.sub.Number})
+}
+
+func (m *Machine) put(j *journal, o *op, e Entry) (placement, []Action) {
+	e.Key = o.key.Text
+	e.Digest = o.digest
+	if err := j.contents.put(e, o.key.Time); err != nil {
+		return m.endRefused(o, ReasonJournalBad)
+	}
+	return placed, nil
+}
+
+// placeResult writes the outcome or the release of a record of this machine.
+func (m *Machine) placeResult(j *journal, o *op) (placement, []Action) {
+	e := j.contents.index[o.key.Text]
+	if e == nil || e.Attempt != o.attempt || e.State != StateClaimed {
+		return ended, m.forget(o, Outcome{Run: RunMayHaveRun, Reason: ReasonDeadline})
+	}
+	next := e.Entry
+	if o.kind == opRelease {
+		next.State = StateTombstone
+		if a := m.attempts[o.attempt]; a != nil {
+			next.Number = a.number()
+		}
+		return m.put(j, o, next)
+	}
+	next.State = StateMayHaveRun
+	if o.outcome.Run == RunRan {
+		next.State = StateRan
+		next.Result, next.ResultDigest = m.kept(j.contents, o.outcome.Result)
+	}
+	return m.put(j, o, next)
+}
+
+// kept returns the result as it is stored: the body if it is small and there is
+// room, else its digest.
+func (m *Machine) kept(c *contents, body json.RawMessage) (json.RawMessage, string) {
+	if len(body) == 0 {
+		return nil, ""
+	}
+	full := c.bytes+len(body)+outcomeReserve*c.claimed > m.cfg.MaxJournalBytes-TombstoneReserve
+	if full || len(body) > m.cfg.MaxResultBytes || !json.Valid(body) {
+		return nil, digest(string(body))
+	}
+	return body, ""
+}
