--- /dev/null
+++ b/internal/daemon/wire.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// Methods between daemons.
+const (
+	methodGossip         = "member.gossip"
+	methodWorkBatch      = "work.batch"
+	methodWorkDone       = "work.done"
+	methodWorkCancel     = "work.cancel"
+	methodWorkExecute    = "work.execute"
+	methodConfigFetch    = "config.fetch"
+	methodOwnershipFetch = "ownership.fetch"
+	methodOnceSubmit     = "once.submit"
+	methodColdNotice     = "cold.notice"
+	methodStatusHost     = "status.host"
+)
+
+// errNotOwner reports that a host has no right to the upstream's slots now; the
+// request was not sent.
+var errNotOwner = errors.New("host is not an owner of the upstream")
+
+// workItem is one sub-request for an upstream of the receiving owner.
+type workItem struct {
+	Replica    string           `json:"replica"`
+	DeadlineUS int64            `json:"deadline_us"` // microseconds left when it was sent
+	Request    upstream.Request `json:"request"`
+}
+
+func newWorkItem(replica string, r upstream.Request, now, deadline time.Time) workItem {
+	return workItem{Replica: replica, DeadlineUS: deadline.Sub(now).Microseconds(), Request: r}
+}
+
+// deadline returns when the item is due by the receiver's clock.
+func (w workItem) deadline(now time.Time) time.Time {
+	return now.Add(time.Duration(w.DeadlineUS) * time.Microsecond)
+}
+
+type workBatch struct {
+	Items []workItem `json:"items"`
+}
+
+// workDone is the end of one item of a batch.
+type workDone struct {
+	Attempt string         `json:"attempt"`
+	Reply   upstream.Reply `json:"reply"`
+	Failure failureCode    `json:"failure,omitempty"`
+}
+
+type workCancel struct {
+	Attempts []string `json:"attempts"`
+}
+
+// failureCode names an error of package upstream or of the owner on the wire.
+type failureCode string
+
+const failureOther failureCode = "other"
+
+var failureCodes = map[failureCode]error{
+	"shed":          upstream.ErrShed,
+	"draining":      upstream.ErrDraining,
+	"snapshot_gone": upstream.ErrSnapshotGone,
+	"moved":         upstream.ErrMoved,
+	"connect":       upstream.ErrConnect,
+	"broken":        upstream.ErrBroken,
+	"mismatch":      upstream.ErrMismatch,
+	"timeout":       upstream.ErrTimeout,
+	"not_owner":     errNotOwner,
+}
+
+func codeOf(err error) failureCode {
+	if err == nil {
+		return ""
+	}
+	for code, known := range failureCodes {
+		if errors.Is(err, known) {
+			return code
+		}
+	}
+	return failureOther
+}
+
+// errorOf is the inverse of codeOf. An unknown code stands for a request that may
+// have run.
+func (c failureCode) errorOf() error {
+	if c == "" {
+		return nil
+	}
+	if err, ok := failureCodes[c]; ok {
+		return err
+	}
+	return upstream.ErrBroken
+}
+
+type fetchConfigRequest struct {
+	Have uint64 `json:"have"`
+}
+
+type fetchTableRequest struct {
+	DataCentre string `json:"data_centre"`
+}
+
+type onceRequest struct {
+	ID         string          `json:"id"`
+	Key        string          `json:"key"`
+	Number     uint32          `json:"number"`
+	Contract   string          `json:"contract"`
+	Service    string          `json:"service"`
+	Body       json.RawMessage `json:"body"`
+	DeadlineUS int64           `json:"deadline_us"` // microseconds left when it was sent
+}
