Add package configuration: document, patches, Editor and Tracker

Change: Document with strict decoding and validation that list every problem; JSON merge patch and JSON Patch with id, base, author and time; a stored value of two gzip members (head with the recent patches, document); Editor, which turns a patch into a conditional update of configuration/current and looks for the patch id before anything else; Tracker, which holds the newest version, asks peers that are ahead one at a time and decides whether this host watches the platform; Active with limits and indexes. A patch that stays inside services or outside the groups is applied to a sparse document, so that its cost does not grow with the number of replicas. Versions share unchanged parts.

Test: go test -race ./configuration passes (refusals, sparse against whole patches, immutability, damaged values, bounded history).

--- /dev/null
+++ b/configuration/helpers_test.go
@@ -0,0 +1,89 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/contract"
+	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// sampleDocument returns a document with one group of that many services and
+// replicas.
+func sampleDocument(services, replicas int) Document {
+	d := Document{
+		Units: []contract.Unit{{Name: "pal", Dimension: contract.Time, Factor: "1/60"}},
+		Contracts: []contract.Contract{{
+			Name: "licence-check", Groups: []string{"licence-desk"}, AnswerTime: "10 pal",
+			MinimumCoverage: "0.99 whole", UpstreamLoad: "2 slot",
+		}},
+		Groups: []Group{{Name: "licence-desk"}},
+	}
+	const centres = 9
+	for i := range centres {
+		d.DataCentres = append(d.DataCentres, DataCentre{Name: fmt.Sprintf("region-%d-%c", i/3, 'a'+i%3), Region: fmt.Sprintf("region-%d", i/3)})
+	}
+	parts := upstream.Split(services)
+	for i := range services {
+		d.Groups[0].Services = append(d.Groups[0].Services, Service{Name: fmt.Sprintf("licence-desk-%03d", i), Partition: parts[i]})
+	}
+	for i := range replicas {
+		s := &d.Groups[0].Services[i%services]
+		s.Replicas = append(s.Replicas, Replica{
+			ID:         fmt.Sprintf("licence-desk-%03d-%08x", i%services, uint32(i)*2654435761),
+			DataCentre: d.DataCentres[i/services%centres].Name,
+			Address:    fmt.Sprintf("10.%d.%d.%d:8400", 16+i%centres, i/250%250, 2+i%250),
+			Slots:      2, Connections: 25,
+		})
+	}
+	return d
+}
+
+// sampleSnapshot returns version 1 with a sample document.
+func sampleSnapshot(t testing.TB, services, replicas int) *snapshot {
+	t.Helper()
+	p := Patch{ID: "first", Type: MergePatch, Body: canonical(sampleDocument(services, replicas))}
+	return mustApply(t, emptySnapshot(), p)
+}
+
+// mustApply returns the version that a valid patch leads to.
+func mustApply(t testing.TB, s *snapshot, p Patch) *snapshot {
+	t.Helper()
+	p.Base, p.Time = s.Number, start
+	next, err := s.patched(p, submitted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next = s.append(next, p)
+	if _, err := Compile(next.Version); err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// setOut returns a patch that takes a data centre out or in.
+func setOut(id string, centre int, out bool) Patch {
+	body := fmt.Sprintf(`[{"op":"replace","path":"/data_centres/%d/out","value":%t}]`, centre, out)
+	return Patch{ID: id, Author: "operator", Type: JSONPatch, Body: json.RawMessage(body)}
+}
+
+// setSlots returns a patch of one replica.
+func setSlots(id string, service, replica, slots int) Patch {
+	body := fmt.Sprintf(`[{"op":"replace","path":"/groups/0/services/%d/replicas/%d/slots","value":%d}]`, service, replica, slots)
+	return Patch{ID: id, Author: "operator", Type: JSONPatch, Body: json.RawMessage(body)}
+}
+
+// object returns the stored object of a version.
+func object(t testing.TB, s *snapshot) platform.Object {
+	t.Helper()
+	value, err := encodeValue(s.Version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Object{Name: ObjectName, Version: s.Number, Value: value}
+}
--- /dev/null
+++ b/configuration/patch_test.go
@@ -0,0 +1,204 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// drawPatch draws a patch of a sample document with 3 services, which may fail.
+func drawPatch(t *rapid.T, d Document) Patch {
+	if rapid.Bool().Draw(t, "merge") {
+		bodies := []string{
+			`{"data_centres":[{"name":"region-0-a","region":"x"}]}`, `{"units":null}`, `{"units":[]}`,
+			`{"contracts":null}`, `{}`, `[]`, `null`, `{"groups":[]}`, `{"groups":null}`, `{"Groups":[]}`, `{"extra":{"a":null}}`,
+			`{"contracts":[{"name":"c","groups":["licence-desk"],"answer_time":"1 second","minimum_coverage":"1 whole","upstream_load":"1 slot"}]}`,
+		}
+		return Patch{Type: MergePatch, Body: json.RawMessage(rapid.SampledFrom(bodies).Draw(t, "body"))}
+	}
+	paths := []string{
+		"", "/groups", "/groups/0", "/groups/0/name", "/groups/0/services", "/groups/0/services/0", "/groups/0/services/-",
+		"/groups/0/services/1/replicas", "/groups/0/services/1/replicas/0", "/groups/0/services/2/replicas/-",
+		"/groups/0/services/0/replicas/0/slots", "/groups/0/services/2/replicas/1/slots", "/groups/0/services/01/replicas/0/slots",
+		"/groups/0/services/9/replicas/0/slots", "/groups/-1/services/0/name", "/groups/0/services/1/name", "/groups/0/services/2/partition",
+		"/data_centres/0", "/data_centres/1/out", "/data_centres/-", "/units/0", "/contracts/0/prefer", "/contracts/0/colour", "bad",
+	}
+	values := []json.RawMessage{
+		[]byte(`3`), []byte(`true`), []byte(`null`), []byte(`"latency"`), []byte(`{}`), []byte(`[]`),
+		canonical(d.Groups), canonical(d.Groups[0].Services[1]), canonical(d.Groups[0].Services[1].Replicas[0]), canonical(d.DataCentres[1]),
+	}
+	var operations []map[string]any
+	for range rapid.IntRange(1, 4).Draw(t, "operations") {
+		o := map[string]any{
+			"op":   rapid.SampledFrom([]string{"add", "replace", "remove", "move", "copy", "test"}).Draw(t, "op"),
+			"path": rapid.SampledFrom(paths).Draw(t, "path"),
+		}
+		switch o["op"] {
+		case "move", "copy":
+			o["from"] = rapid.SampledFrom(paths).Draw(t, "from")
+		case "add", "replace", "test":
+			o["value"] = rapid.SampledFrom(values).Draw(t, "value")
+		}
+		if rapid.Bool().Draw(t, "misspelt") {
+			o["Path"] = "/units"
+		}
+		operations = append(operations, o)
+	}
+	return Patch{Type: JSONPatch, Body: canonical(operations)}
+}
+
+// Guards against the sparse application of a patch accepting, refusing or
+// resulting in something else than the application to the whole document.
+func TestSparsePatchMatchesWhole(t *testing.T) {
+	base := sampleSnapshot(t, 3, 6)
+	sparse, accepted := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPatch(t, base.Document)
+		touched, ok := base.touchedServices(p)
+		if !ok {
+			return
+		}
+		sparse++
+		got, gotErr := base.patchedSparse(p, touched, submitted)
+		var want Document
+		whole, wantErr := applyBody(p.Type, canonical(base.Document), p.Body)
+		if wantErr == nil {
+			wantErr = decodeStrict(whole, &want)
+		}
+		if (gotErr == nil) != (wantErr == nil) {
+			t.Fatalf("patch %s: sparse: %v, whole: %v", p.Body, gotErr, wantErr)
+		}
+		if gotErr != nil {
+			return
+		}
+		accepted++
+		s := newSnapshot(want)
+		if got.Digest != s.Digest || !reflect.DeepEqual(got.Document, s.Document) {
+			t.Fatalf("patch %s: sparse: %s, whole: %s", p.Body, canonical(got.Document), canonical(s.Document))
+		}
+	})
+	if sparse < 20 || accepted < 5 {
+		t.Errorf("only %d patches were sparse and %d of them valid", sparse, accepted)
+	}
+}
+
+// Guards against a version being changed by a patch of a later one.
+func TestVersionsAreImmutable(t *testing.T) {
+	s := sampleSnapshot(t, 3, 6)
+	before := string(canonical(s.Document))
+	next := mustApply(t, s, setSlots("a", 1, 0, 7))
+	next = mustApply(t, next, setOut("b", 1, true))
+	if string(canonical(s.Document)) != before || s.Digest != newSnapshot(s.Document).Digest {
+		t.Error("the base version changed")
+	}
+	if next.Document.Groups[0].Services[1].Replicas[0].Slots != 7 || !next.Document.DataCentres[1].Out {
+		t.Error("the patches are missing")
+	}
+	if &next.Document.Groups[0].Services[0].Replicas[0] != &s.Document.Groups[0].Services[0].Replicas[0] {
+		t.Error("an unchanged service was copied")
+	}
+}
+
+// Guards against a stored value that decodes to another version, from scratch
+// and from a version that some or all patches lead from.
+func TestStoredValueRoundTrip(t *testing.T) {
+	s := sampleSnapshot(t, 3, 6)
+	old := s
+	for i := range 5 {
+		s = mustApply(t, s, setSlots(fmt.Sprintf("p%d", i), i%3, 0, i+1))
+	}
+	value := object(t, s).Value
+	for _, held := range []*snapshot{nil, old, s, emptySnapshot()} {
+		o, err := openValue(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := o.snapshot(held)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got.Document, s.Document) || got.Number != s.Number || got.Digest != s.Digest || len(got.Patches) != 6 {
+			t.Errorf("got version %d with digest %s", got.Number, got.Digest)
+		}
+	}
+}
+
+// Guards against damaged or hostile stored values being taken.
+func TestStoredValueDamaged(t *testing.T) {
+	value := object(t, sampleSnapshot(t, 3, 6)).Value
+	for _, damage := range []int{0, 3, len(value) / 2, len(value) - 5} {
+		for _, damaged := range [][]byte{value[:damage], append(append([]byte{}, value[:damage]...), 0xff, 1, 2)} {
+			o, err := openValue(damaged)
+			if err == nil {
+				_, err = o.snapshot(nil)
+			}
+			if !errors.Is(err, ErrCorrupt) {
+				t.Errorf("damage at %d: got %v", damage, err)
+			}
+		}
+	}
+	large, err := compress(append([]byte(`{"format":1,"number":1,"digest":"`), make([]byte, maxHeadBytes)...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openValue(large); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("expansion beyond the bound: got %v", err)
+	}
+}
+
+// Guards against a history that grows without bound, or that keeps a record
+// without a body behind one that has a body.
+func TestHistoryIsBounded(t *testing.T) {
+	s := sampleSnapshot(t, 1, 1)
+	for i := range maxRecords + 50 {
+		p := setSlots(fmt.Sprintf("p%d", i), 0, 0, 1+i%2)
+		p.Base = s.Number
+		next, err := s.patched(p, accepted)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = s.append(next, p)
+	}
+	if len(s.Patches) != maxRecords || s.Patches[maxRecords-1].Number != s.Number {
+		t.Errorf("%d records, newest %d", len(s.Patches), s.Patches[len(s.Patches)-1].Number)
+	}
+	large := Patch{ID: "large", Type: JSONPatch, Base: s.Number, Body: canonical([]any{map[string]any{
+		"op": "test", "path": "/units", "value": make([]int, maxBody),
+	}})}
+	s = s.append(newSnapshot(s.Document), large)
+	for _, r := range s.Patches {
+		if r.Body != nil {
+			t.Fatalf("record %d kept its body", r.Number)
+		}
+	}
+}
+
+// Guards against a stored value of the target size that the platform refuses.
+func TestStoredValueFitsTargetSize(t *testing.T) {
+	s := sampleSnapshot(t, targetServices, targetReplicas)
+	for i := range maxRecords {
+		p := setSlots(fmt.Sprintf("patch-%016x", uint64(i)*0x9e3779b97f4a7c15), i%targetServices, 0, 1+i%2)
+		p.Base, p.Time = s.Number, start
+		next, err := s.patched(p, accepted)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = s.append(next, p)
+	}
+	value := object(t, s).Value
+	document, err := compress(canonical(s.Document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d replicas: document %d bytes, stored value %d bytes, of these the document %d and the head with %d records %d",
+		targetReplicas, len(canonical(s.Document)), len(value), len(document), len(s.Patches), len(value)-len(document))
+	if len(value) > platform.MaxValueBytes*3/4 || len(s.Patches) != maxRecords {
+		t.Errorf("stored value has %d bytes", len(value))
+	}
+}
--- /dev/null
+++ b/configuration/tracker.go
@@ -0,0 +1,334 @@
+package configuration
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// Defaults of TrackerConfig. An accepted version has to be in force everywhere
+// within 4 s, which leaves time for a few peers that do not respond.
+const (
+	// DefaultFetchTimeout is the time after which another peer is asked.
+	DefaultFetchTimeout = 500 * time.Millisecond
+	// DefaultFetchRetry is the pause after all peers that are ahead failed.
+	DefaultFetchRetry = 200 * time.Millisecond
+)
+
+// TrackerConfig configures a Tracker. Zero times stand for the defaults.
+type TrackerConfig struct {
+	// Host is the id of this host.
+	Host         string
+	FetchTimeout time.Duration
+	FetchRetry   time.Duration
+}
+
+// TrackerAction is one of Fetch, InForce and Watch.
+type TrackerAction interface{ trackerAction() }
+
+// Fetch asks a peer for what it has beyond version Have. The result goes to
+// Tracker.Fetched. The shell may give up earlier calls, whose results are
+// ignored.
+type Fetch struct {
+	Call uint64
+	Peer string
+	Have uint64
+	// Whole asks for the whole version, because the patches did not lead to
+	// the peer's digest.
+	Whole bool
+}
+
+// InForce reports that a version has replaced the one before on this host.
+type InForce struct{ Active *Active }
+
+// Watch starts or stops the watch of ObjectName on the platform.
+type Watch struct {
+	On bool
+	// After is the version of the object that is held, 0 for none.
+	After uint64
+}
+
+func (Fetch) trackerAction()   {}
+func (InForce) trackerAction() {}
+func (Watch) trackerAction()   {}
+
+// Tracker keeps the newest version that this host knows of. The number never
+// decreases.
+type Tracker struct {
+	cfg    TrackerConfig
+	held   *snapshot
+	active *Active
+	value  []byte // stored value of held, nil until it is needed
+	object uint64 // version of the newest object taken from the platform
+	watch  bool
+
+	ahead   map[string]*aheadPeer
+	fetch   *fetchCall
+	calls   uint64
+	retryAt time.Time // next round after all peers failed; zero if none is due
+}
+
+// aheadPeer is a peer that claims a higher number than the one held.
+type aheadPeer struct {
+	number uint64
+	failed bool // in this round
+}
+
+// fetchCall is the call in flight.
+type fetchCall struct {
+	Fetch
+	expires time.Time
+}
+
+// NewTracker returns a Tracker without a version.
+func NewTracker(cfg TrackerConfig) *Tracker {
+	if cfg.FetchTimeout <= 0 {
+		cfg.FetchTimeout = DefaultFetchTimeout
+	}
+	if cfg.FetchRetry <= 0 {
+		cfg.FetchRetry = DefaultFetchRetry
+	}
+	return &Tracker{cfg: cfg, held: emptySnapshot(), ahead: map[string]*aheadPeer{}}
+}
+
+// Active returns the version in force, or nil.
+func (t *Tracker) Active() *Active { return t.active }
+
+// Number returns the number of the version in force, or 0.
+func (t *Tracker) Number() uint64 { return t.held.Number }
+
+// Ready reports whether this host has a version.
+func (t *Tracker) Ready() bool { return t.active != nil }
+
+// Watches reports whether this host should watch the platform.
+func (t *Tracker) Watches() bool { return t.watch }
+
+// History returns the recent accepted patches, oldest first.
+func (t *Tracker) History() []PatchRecord { return t.held.Patches }
+
+// SetMembers takes the live members of this host's data centre.
+func (t *Tracker) SetMembers(live []string) []TrackerAction {
+	members := append(slices.Clone(live), t.cfg.Host)
+	watch := slices.Contains(Watchers(members), t.cfg.Host)
+	if watch == t.watch {
+		return nil
+	}
+	t.watch = watch
+	return []TrackerAction{Watch{On: watch, After: t.object}}
+}
+
+// Platform takes the object as it was read, watched or written.
+func (t *Tracker) Platform(now time.Time, object platform.Object) ([]TrackerAction, error) {
+	if object.Version == 0 {
+		return nil, nil
+	}
+	opened, err := openValue(object.Value)
+	if err != nil {
+		return nil, err
+	}
+	actions, err := t.take(now, opened, object.Value)
+	if err == nil {
+		t.object = max(t.object, object.Version)
+	}
+	return actions, err
+}
+
+// take adopts an opened value if its number is higher than the one held.
+func (t *Tracker) take(now time.Time, opened *openedValue, value []byte) ([]TrackerAction, error) {
+	if opened.Number < t.held.Number {
+		return nil, nil
+	}
+	if opened.Number == t.held.Number {
+		return nil, t.compare(opened.Number, opened.Digest)
+	}
+	next, err := opened.snapshot(t.held)
+	if err != nil {
+		return nil, err
+	}
+	return t.adopt(now, next, value)
+}
+
+// compare returns an error if another document has the number that is held.
+func (t *Tracker) compare(number uint64, digest string) error {
+	if number == t.held.Number && digest != t.held.Digest {
+		return errors.Wrapf(ErrDiverged, "version %d has digest %s here and %s elsewhere", number, t.held.Digest, digest)
+	}
+	return nil
+}
+
+// adopt puts a version in force. next has a higher number than the one held.
+func (t *Tracker) adopt(now time.Time, next *snapshot, value []byte) ([]TrackerAction, error) {
+	active, err := Compile(next.Version)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "version %d", next.Number), ErrCorrupt)
+	}
+	t.held, t.active, t.value = next, active, value
+	for name, p := range t.ahead {
+		p.failed = false
+		if p.number <= next.Number {
+			delete(t.ahead, name)
+		}
+	}
+	t.retryAt = time.Time{}
+	actions := []TrackerAction{InForce{Active: active}}
+	if t.fetch != nil && t.ahead[t.fetch.Peer] == nil {
+		t.fetch = nil // the peer has nothing newer any more
+	}
+	return t.proceed(now, actions), nil
+}
+
+// PeerAt takes the number that a peer of any data centre holds, as learned from
+// gossip.
+func (t *Tracker) PeerAt(now time.Time, peer string, number uint64) []TrackerAction {
+	if number <= t.held.Number || peer == t.cfg.Host {
+		return nil
+	}
+	p := t.ahead[peer]
+	if p == nil {
+		p = &aheadPeer{}
+		t.ahead[peer] = p
+	}
+	if number > p.number {
+		*p = aheadPeer{number: number}
+	}
+	return t.proceed(now, nil)
+}
+
+// PeerGone forgets a peer that is dead or has left.
+func (t *Tracker) PeerGone(now time.Time, peer string) []TrackerAction {
+	delete(t.ahead, peer)
+	if t.fetch != nil && t.fetch.Peer == peer {
+		t.fetch = nil
+	}
+	return t.proceed(now, nil)
+}
+
+// proceed asks the best peer that is ahead unless a call is in flight.
+func (t *Tracker) proceed(now time.Time, actions []TrackerAction) []TrackerAction {
+	if t.fetch != nil || len(t.ahead) == 0 {
+		return actions
+	}
+	peer := t.choose()
+	if peer == "" {
+		if t.retryAt.IsZero() {
+			t.retryAt = now.Add(t.cfg.FetchRetry)
+		}
+		return actions
+	}
+	t.retryAt = time.Time{}
+	return append(actions, t.ask(now, peer, false))
+}
+
+// choose returns the peer with the highest number that has not failed in this
+// round. Among equals the rendezvous hash spreads the hosts over the peers.
+func (t *Tracker) choose() string {
+	best := ""
+	for name, p := range t.ahead {
+		if p.failed {
+			continue
+		}
+		if best == "" || t.better(name, best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// better reports whether peer a should be asked before peer b.
+func (t *Tracker) better(a, b string) bool {
+	order := cmp.Or(
+		cmp.Compare(t.ahead[a].number, t.ahead[b].number),
+		cmp.Compare(score(t.cfg.Host, a), score(t.cfg.Host, b)),
+		cmp.Compare(a, b),
+	)
+	return order > 0
+}
+
+// ask starts a call.
+func (t *Tracker) ask(now time.Time, peer string, whole bool) TrackerAction {
+	t.calls++
+	f := Fetch{Call: t.calls, Peer: peer, Have: t.held.Number, Whole: whole}
+	t.fetch = &fetchCall{Fetch: f, expires: now.Add(t.cfg.FetchTimeout)}
+	return f
+}
+
+// Fetched takes a peer's response, or the error of the call. The returned error
+// tells what was wrong with the response; the actions are valid in any case.
+func (t *Tracker) Fetched(now time.Time, call uint64, delta Delta, err error) ([]TrackerAction, error) {
+	if t.fetch == nil || t.fetch.Call != call {
+		return nil, nil
+	}
+	f := t.fetch
+	t.fetch = nil
+	if err != nil {
+		return t.failed(now, f.Peer), nil
+	}
+	if delta.Number <= t.held.Number {
+		delete(t.ahead, f.Peer) // the peer lost the version that it claimed
+		return t.proceed(now, nil), nil
+	}
+	actions, err := t.takeDelta(now, delta)
+	switch {
+	case err == nil && len(actions) > 0:
+		return actions, nil
+	case err != nil && !f.Whole && delta.Value == nil:
+		return []TrackerAction{t.ask(now, f.Peer, true)}, err
+	}
+	return t.failed(now, f.Peer), err
+}
+
+// takeDelta adopts what a peer sent.
+func (t *Tracker) takeDelta(now time.Time, d Delta) ([]TrackerAction, error) {
+	if d.Value != nil {
+		opened, err := openValue(d.Value)
+		if err != nil {
+			return nil, err
+		}
+		return t.take(now, opened, d.Value)
+	}
+	next, err := followAll(t.held, recordsAfter(d.Patches, t.held.Number))
+	if err != nil {
+		return nil, err
+	}
+	if next.Number != d.Number {
+		return nil, errors.Wrapf(ErrCorrupt, "patches lead to version %d, want %d", next.Number, d.Number)
+	}
+	return t.adopt(now, next, nil)
+}
+
+// failed marks a peer as failed in this round and asks the next one.
+func (t *Tracker) failed(now time.Time, peer string) []TrackerAction {
+	if p := t.ahead[peer]; p != nil {
+		p.failed = true
+	}
+	return t.proceed(now, nil)
+}
+
+// Tick handles a timeout or a new round that is due. Call it at Next.
+func (t *Tracker) Tick(now time.Time) []TrackerAction {
+	if t.fetch != nil && !now.Before(t.fetch.expires) {
+		peer := t.fetch.Peer
+		t.fetch = nil
+		return t.failed(now, peer)
+	}
+	if t.fetch == nil && !t.retryAt.IsZero() && !now.Before(t.retryAt) {
+		t.retryAt = time.Time{}
+		for _, p := range t.ahead {
+			p.failed = false
+		}
+		return t.proceed(now, nil)
+	}
+	return nil
+}
+
+// Next returns the time of the next Tick.
+func (t *Tracker) Next() (time.Time, bool) {
+	if t.fetch != nil {
+		return t.fetch.expires, true
+	}
+	return t.retryAt, !t.retryAt.IsZero()
+}
--- /dev/null
+++ b/configuration/value.go
@@ -0,0 +1,226 @@
+package configuration
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// The stored value is a gzip stream of two members: a head, which holds the
+// number and the recent patches, and the document. A host that already holds a
+// recent version reads the head alone and applies the patches that it lacks.
+
+// valueFormat is the format of the stored value.
+const valueFormat = 1
+
+// Bounds on the recent patches in the stored value.
+const (
+	// maxRecords is the largest number of records kept. At 7,500 patches a
+	// day it covers more than three hours, which is far beyond the time in
+	// which a caller sends a patch again.
+	maxRecords = 1000
+	// maxBodyBytes bounds the sum of the bodies that are kept, and maxBody
+	// each of them; a record without a body makes peers send whole versions.
+	maxBodyBytes = 128 << 10
+	maxBody      = 32 << 10
+	// maxHeadBytes bounds what is read of a head.
+	maxHeadBytes = 4 << 20
+)
+
+// head is the first part of the stored value.
+type head struct {
+	Format  int           `json:"format"`
+	Number  uint64        `json:"number"`
+	Digest  string        `json:"digest"`
+	Patches []PatchRecord `json:"patches"`
+}
+
+// trimRecords drops the oldest records and bodies. It may change records.
+func trimRecords(records []PatchRecord) []PatchRecord {
+	if drop := len(records) - maxRecords; drop > 0 {
+		records = records[drop:]
+	}
+	total := 0
+	for i := len(records) - 1; i >= 0; i-- {
+		size := len(records[i].Body)
+		if size > maxBody || total+size > maxBodyBytes {
+			// Without this body the older ones lead to no newer version.
+			dropBodies(records[:i+1])
+			return records
+		}
+		total += size
+	}
+	return records
+}
+
+// dropBodies removes the bodies of records.
+func dropBodies(records []PatchRecord) {
+	for i := range records {
+		records[i].Body = nil
+	}
+}
+
+// encodeValue returns the stored value of a version. It drops old records if
+// the value would otherwise be too large for the platform.
+func encodeValue(v Version) ([]byte, error) {
+	document, err := compress(canonical(v.Document))
+	if err != nil {
+		return nil, err
+	}
+	for records := v.Patches; ; records = records[(len(records)+1)/2:] {
+		data, err := compress(canonical(head{valueFormat, v.Number, v.Digest, records}))
+		if err != nil {
+			return nil, err
+		}
+		size := len(data) + len(document)
+		if size <= platform.MaxValueBytes {
+			return append(data, document...), nil
+		}
+		if len(records) <= 1 {
+			return nil, tooLarge("stored value", size, platform.MaxValueBytes)
+		}
+	}
+}
+
+// compress returns data as one gzip member. The fastest level is enough: the
+// value of the target size stays well under the platform's bound.
+func compress(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compressing a configuration")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compressing a configuration")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compressing a configuration")
+	}
+	return b.Bytes(), nil
+}
+
+// valueReader reads the two members of a stored value.
+type valueReader struct {
+	source *bytes.Reader
+	gzip   *gzip.Reader
+}
+
+// newValueReader returns a reader at the head.
+func newValueReader(value []byte) (*valueReader, error) {
+	source := bytes.NewReader(value)
+	z, err := gzip.NewReader(source)
+	if err != nil {
+		return nil, errors.Wrapf(ErrCorrupt, "stored value: %s", err)
+	}
+	z.Multistream(false)
+	return &valueReader{source, z}, nil
+}
+
+// next decodes one member of at most limit bytes and moves to the next one.
+func (r *valueReader) next(limit int, target any) error {
+	data, err := io.ReadAll(io.LimitReader(r.gzip, int64(limit)+1))
+	if err != nil {
+		return errors.Wrapf(ErrCorrupt, "stored value: %s", err)
+	}
+	if len(data) > limit {
+		return tooLarge("part of the stored value", len(data), limit)
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return errors.Wrapf(ErrCorrupt, "stored value: %s", err)
+	}
+	if err := r.gzip.Reset(r.source); err != nil && !errors.Is(err, io.EOF) {
+		return errors.Wrapf(ErrCorrupt, "stored value: %s", err)
+	}
+	r.gzip.Multistream(false)
+	return nil
+}
+
+// openedValue is a stored value whose head is decoded.
+type openedValue struct {
+	head
+	rest *valueReader
+}
+
+// openValue decodes the head of a stored value.
+func openValue(value []byte) (*openedValue, error) {
+	r, err := newValueReader(value)
+	if err != nil {
+		return nil, err
+	}
+	o := &openedValue{rest: r}
+	if err := r.next(maxHeadBytes, &o.head); err != nil {
+		return nil, err
+	}
+	if o.Format != valueFormat || o.Number == 0 {
+		return nil, errors.Wrapf(ErrCorrupt, "stored value has format %d and number %d", o.Format, o.Number)
+	}
+	return o, nil
+}
+
+// snapshot returns the version in the value. It makes it from held, which may
+// be nil, if the recent patches lead there.
+func (o *openedValue) snapshot(held *snapshot) (*snapshot, error) {
+	if held != nil && held.Number == o.Number && held.Digest == o.Digest {
+		return held, nil
+	}
+	if s := o.advance(held); s != nil {
+		return s, nil
+	}
+	return o.readDocument(o.rest)
+}
+
+// advance returns held with the patches that it lacks, or nil if they are not
+// all known or do not lead to the digest.
+func (h *head) advance(held *snapshot) *snapshot {
+	if held == nil || held.Number >= h.Number {
+		return nil
+	}
+	s, err := followAll(held, recordsAfter(h.Patches, held.Number))
+	if err != nil || s.Number != h.Number || s.Digest != h.Digest {
+		return nil
+	}
+	s.Patches = h.Patches
+	return s
+}
+
+// readDocument decodes the document, which is the next member.
+func (h *head) readDocument(r *valueReader) (*snapshot, error) {
+	var d Document
+	if err := r.next(MaxDocumentBytes, &d); err != nil {
+		return nil, err
+	}
+	s := newSnapshot(d)
+	if s.Digest != h.Digest {
+		return nil, errors.Wrapf(ErrCorrupt, "stored value has digest %s, its document %s", h.Digest, s.Digest)
+	}
+	s.Number, s.Patches = h.Number, h.Patches
+	return s, nil
+}
+
+// recordsAfter returns the records of the versions after number, or nil if
+// they are not all known with their bodies.
+func recordsAfter(records []PatchRecord, number uint64) []PatchRecord {
+	for i, r := range records {
+		if r.Number == number+1 && r.Body != nil {
+			return records[i:]
+		}
+	}
+	return nil
+}
+
+// followAll applies accepted patches one after the other.
+func followAll(s *snapshot, records []PatchRecord) (*snapshot, error) {
+	for _, r := range records {
+		next, err := s.follow(r)
+		if err != nil {
+			return nil, err
+		}
+		s = next
+	}
+	return s, nil
+}
