--- a/internal/daemon/scatter.go
+++ b/internal/daemon/scatter.go
@@ -58,7 +58,8 @@
 	body    json.RawMessage
 	machine *query.Machine
 	timer   *time.Timer
-	finish  *query.Finish
+	ended   bool
+	finish  query.Finish
 	done    chan struct{}
 }
 
@@ -85,7 +86,7 @@
 	r.start(plan)
 	select {
 	case <-r.done:
-		return *r.finish, nil
+		return r.finish, nil
 	case <-ctx.Done():
 		r.abandon()
 		return query.Finish{}, ctx.Err()
@@ -96,7 +97,7 @@
 	r.step(func(now time.Time) []query.Action {
 		r.machine = query.New(plan, r.loop.stats, r.loop.budget, r.loop.rng)
 		r.loop.running[r] = struct{}{}
-		r.timer = time.AfterFunc(time.Hour, r.tick)
+		r.timer = time.AfterFunc(plan.AnswerTime, r.tick)
 		return r.machine.Start(now)
 	})
 }
@@ -105,34 +106,27 @@
 	r.step(func(now time.Time) []query.Action { return r.machine.Tick(now) })
 }
 
-// step passes one event to the machine and carries out its actions. The actions
-// run outside the loop's lock, since sending may take a while.
+// step passes one event to the machine and carries out its actions. It differs
+// from stepper in that all queries of a loop share one lock. The actions run
+// outside it, since sending may take a while.
 func (r *scatterRun) step(event func(now time.Time) []query.Action) {
 	r.loop.mu.Lock()
-	if r.finish != nil {
+	if r.ended {
 		r.loop.mu.Unlock()
 		return
 	}
 	now := time.Now()
 	actions := event(now)
-	for _, a := range actions {
-		if f, ok := a.(*query.Finish); ok {
-			r.finish = f
-		}
-	}
-	finished := r.finish != nil
 	r.schedule(now)
 	r.loop.mu.Unlock()
 	r.carryOut(now, actions)
-	if finished {
-		close(r.done)
-	}
 }
 
 // schedule sets the timer for the machine's next tick. The loop's lock is held.
 func (r *scatterRun) schedule(now time.Time) {
 	next, ok := r.machine.Next()
-	if !ok || r.finish != nil {
+	if !ok {
+		r.ended = true
 		r.timer.Stop()
 		delete(r.loop.running, r)
 		return
@@ -149,6 +143,9 @@
 			attempts = append(attempts, r.attempt(now, a))
 		case *query.Cancel:
 			cancelled = append(cancelled, a.Attempt)
+		case *query.Finish:
+			r.finish = *a
+			close(r.done)
 		}
 	}
 	if len(attempts) > 0 {
@@ -187,9 +184,7 @@
 // abandon stops a query whose caller is gone.
 func (r *scatterRun) abandon() {
 	r.step(func(now time.Time) []query.Action {
-		actions := r.machine.Abort(now)
-		r.finish = &query.Finish{}
-		return actions
+		return r.machine.Abort(now)
 	})
 }
 
