--- /dev/null
+++ b/internal/daemon/execute.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/marigoldlever/marigoldlever/internal/tracing"
+	"github.com/marigoldlever/marigoldlever/peer"
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// execute brings a non-idempotent request to one upstream through an owner. It
+// tries another owner only while the request has surely not been sent. The error
+// tells whether it may have run: see upstream.NotRun.
+func (r *router) execute(ctx context.Context, replica string, request upstream.Request, deadline time.Time) (upstream.Reply, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	a := &routed{attempt: attempt{id: request.Attempt, replica: replica, request: request, deadline: deadline}}
+	for {
+		owner, ok := r.choose(a)
+		if !ok {
+			return upstream.Reply{}, errors.Wrap(upstream.ErrShed, "no owner can take the request")
+		}
+		a.tried = append(a.tried, owner.Member.ID)
+		reply, err := r.executeAt(ctx, owner.Member.ID, owner.Member.PeerAddress, a)
+		if !errors.Is(err, errNotOwner) {
+			return reply, err
+		}
+	}
+}
+
+func (r *router) executeAt(ctx context.Context, id, address string, a *routed) (upstream.Reply, error) {
+	if id == r.self {
+		return r.executeHere(ctx, a.replica, a.request, a.deadline)
+	}
+	ctx, span := r.tracer.Start(ctx, "owner.execute", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	var done workDone
+	item := newWorkItem(a.replica, a.request, time.Now(), a.deadline)
+	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), address, methodWorkExecute, item, &done)
+	if err != nil {
+		return upstream.Reply{}, ownerError(err)
+	}
+	if done.Attempt != a.id {
+		return upstream.Reply{}, errors.Wrapf(upstream.ErrMismatch, "attempt %s", done.Attempt)
+	}
+	return done.Reply, done.Failure.errorOf()
+}
+
+func (r *router) executeHere(ctx context.Context, replica string, request upstream.Request, deadline time.Time) (upstream.Reply, error) {
+	type result struct {
+		reply upstream.Reply
+		err   error
+	}
+	results := make(chan result, 1)
+	r.gateway.submit(ctx, replica, request, deadline, func(reply upstream.Reply, err error) {
+		results <- result{reply, err}
+	})
+	got := <-results
+	return got.reply, got.err
+}
+
+func (r *router) handleExecute(ctx context.Context, request peer.Request) (any, error) {
+	var item workItem
+	if err := request.Decode(&item); err != nil {
+		return nil, err
+	}
+	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.execute", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	reply, err := r.executeHere(ctx, item.Replica, item.Request, item.deadline(time.Now()))
+	return workDone{Attempt: item.Request.Attempt, Reply: reply, Failure: codeOf(err)}, nil
+}
--- /dev/null
+++ b/internal/daemon/journal.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/marigoldlever/marigoldlever/internal/tracing"
+	"github.com/marigoldlever/marigoldlever/once"
+	"github.com/marigoldlever/marigoldlever/peer"
+	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// answerMargin is kept free of a forwarded request's deadline, so that the
+// writer's answer arrives before the entry host gives up.
+const answerMargin = 20 * time.Millisecond
+
+// dispatcher sends a recorded request to an upstream of a service.
+type dispatcher interface {
+	dispatch(ctx context.Context, s once.Submission, attempt string) once.DispatchResult
+}
+
+// journalRunner records and runs non-idempotent requests.
+type journalRunner struct {
+	self       string
+	journals   int
+	store      platform.Store
+	node       *peer.Node
+	dispatcher dispatcher
+	// writer returns the id and peer address of a journal's preferred writer.
+	writer func(journal int) (id, address string)
+
+	machine *once.Machine
+	step    stepper[once.Action]
+	waiting sync.Map // submission id to chan once.Outcome
+	ctx     context.Context
+}
+
+func newJournalRunner(ctx context.Context, cfg once.Config, self, incarnation string, store platform.Store, node *peer.Node, d dispatcher, seed uint64) (*journalRunner, error) {
+	machine, err := once.New(cfg, self+"/"+incarnation, rand.New(rand.NewPCG(seed, 1)))
+	if err != nil {
+		return nil, errors.Wrap(err, "journal settings")
+	}
+	r := &journalRunner{
+		self: self, journals: cfg.Journals, store: store, node: node, dispatcher: d, machine: machine, ctx: ctx,
+		writer: func(int) (string, string) { return self, "" },
+	}
+	r.step.tick, r.step.next, r.step.perform = machine.Tick, machine.Next, r.perform
+	node.Handle(methodOnceSubmit, r.handleSubmit)
+	return r, nil
+}
+
+// execute runs a submission: at the preferred writer of its journal if that host
+// can be reached, otherwise here.
+func (r *journalRunner) execute(ctx context.Context, s once.Submission) once.Outcome {
+	id, address := r.writer(once.JournalOf(s.Key, r.journals))
+	if id == r.self || id == "" {
+		return r.submit(s, r.machine.Submit)
+	}
+	outcome, err := r.forward(ctx, address, s)
+	switch {
+	case err == nil:
+		return outcome
+	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge):
+		return r.submit(s, r.machine.Submit)
+	default:
+		// The writer may or may not have recorded it. A tombstone settles that:
+		// either the writer's record stands already or it never can.
+		return r.submit(s, r.machine.Refuse)
+	}
+}
+
+func (r *journalRunner) forward(ctx context.Context, address string, s once.Submission) (once.Outcome, error) {
+	// A third of the time is kept for the tombstone, should the answer be lost.
+	left := time.Until(s.Deadline)
+	forwarded := left - max(left/3, answerMargin)
+	ctx, cancel := context.WithTimeout(ctx, forwarded+answerMargin/2)
+	defer cancel()
+	message := onceRequest{
+		ID: s.ID, Key: s.Key, Number: s.Number, Contract: s.Contract, Service: s.Service, Body: s.Body,
+		DeadlineUS: forwarded.Microseconds(),
+	}
+	var outcome once.Outcome
+	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), address, methodOnceSubmit, message, &outcome)
+	return outcome, err
+}
+
+func (r *journalRunner) handleSubmit(_ context.Context, request peer.Request) (any, error) {
+	var m onceRequest
+	if err := request.Decode(&m); err != nil {
+		return nil, err
+	}
+	return r.submit(once.Submission{
+		ID: m.ID, Key: m.Key, Number: m.Number, Contract: m.Contract, Service: m.Service, Body: m.Body,
+		Deadline: time.Now().Add(time.Duration(m.DeadlineUS) * time.Microsecond),
+	}, r.machine.Submit), nil
+}
+
+// submit passes a submission to the machine and waits for its answer, which comes
+// at the deadline at the latest. It doesn't end with the caller's context, since
+// the work goes on without the caller.
+func (r *journalRunner) submit(s once.Submission, event func(time.Time, once.Submission) []once.Action) once.Outcome {
+	s.ID = s.ID + "/" + uuid.NewString()
+	answer := make(chan once.Outcome, 1)
+	r.waiting.Store(s.ID, answer)
+	r.step.step(func(now time.Time) []once.Action { return event(now, s) })
+	select {
+	case outcome := <-answer:
+		return outcome
+	case <-r.ctx.Done():
+		return once.Outcome{Run: once.RunMayHaveRun, Reason: once.ReasonDeadline}
+	}
+}
+
+func (r *journalRunner) perform(_ time.Time, actions []once.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case once.Read:
+			go r.read(a)
+		case once.Write:
+			go r.write(a)
+		case once.Dispatch:
+			go r.dispatch(a)
+		case once.Answer:
+			if waiting, ok := r.waiting.LoadAndDelete(a.Submission.ID); ok {
+				waiting.(chan once.Outcome) <- a.Outcome
+			}
+		}
+	}
+}
+
+func (r *journalRunner) read(a once.Read) {
+	object, err := r.store.Get(r.ctx, once.JournalName(a.Journal))
+	r.step.step(func(now time.Time) []once.Action { return r.machine.ReadDone(now, a.Journal, object, err) })
+}
+
+func (r *journalRunner) write(a once.Write) {
+	object, err := r.store.Put(r.ctx, once.JournalName(a.Journal), a.Base, a.Value)
+	r.step.step(func(now time.Time) []once.Action { return r.machine.WriteDone(now, a.Journal, object, err) })
+}
+
+func (r *journalRunner) dispatch(a once.Dispatch) {
+	result := r.dispatcher.dispatch(r.ctx, a.Submission, a.Attempt)
+	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
+}
+
+func (r *journalRunner) inFlight() int {
+	n := 0
+	r.step.view(func(time.Time) { n = r.machine.InFlight() })
+	return n
+}
+
+// replicaChooser returns the replicas of a service that may get new work now, in
+// the order to try them.
+type replicaChooser interface {
+	usable(now time.Time, service string) []string
+}
+
+// upstreamDispatcher dispatches through the owners.
+type upstreamDispatcher struct {
+	router   *router
+	replicas replicaChooser
+}
+
+// dispatch tries replicas until the request may have been sent to one.
+func (d *upstreamDispatcher) dispatch(ctx context.Context, s once.Submission, attempt string) once.DispatchResult {
+	for _, replica := range d.replicas.usable(time.Now(), s.Service) {
+		request := upstream.Request{
+			Attempt: attempt + "@" + replica, Service: s.Service, Kind: upstream.Execute, Key: s.Key, Body: s.Body,
+		}
+		reply, err := d.router.execute(ctx, replica, request, s.Deadline)
+		switch {
+		case err == nil:
+			return once.DispatchResult{Kind: once.DispatchRan, Body: reply.Records}
+		case !upstream.NotRun(err):
+			return once.DispatchResult{Kind: once.DispatchUnknown}
+		case !time.Now().Before(s.Deadline):
+			return once.DispatchResult{Kind: once.DispatchNotSent}
+		}
+	}
+	return once.DispatchResult{Kind: once.DispatchNotSent, RetryAfter: dispatchRetryAfter}
+}
+
+// dispatchRetryAfter is the wait asked of callers when no upstream took the
+// request.
+const dispatchRetryAfter = 500 * time.Millisecond
--- a/internal/daemon/scatter.go
+++ b/internal/daemon/scatter.go
@@ -79,10 +79,12 @@
 // run executes the plan and returns its result. When ctx ends first, the
 // attempts in flight are cancelled.
 func (s *scatter) run(ctx context.Context, plan query.Plan, body json.RawMessage) (query.Finish, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	// The attempts have a context of their own, so that they are cancelled by
+	// message before their connection's context ends.
+	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	loop := s.loops[s.next.Add(1)%uint64(len(s.loops))]
-	r := &scatterRun{scatter: s, loop: loop, ctx: ctx, body: body, done: make(chan struct{})}
+	r := &scatterRun{scatter: s, loop: loop, ctx: attempts, body: body, done: make(chan struct{})}
 	r.start(plan)
 	select {
 	case <-r.done:
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -100,7 +100,8 @@
 }
 
 type fetchConfigRequest struct {
-	Have uint64 `json:"have"`
+	Have  uint64 `json:"have"`
+	Whole bool   `json:"whole,omitempty"`
 }
 
 type fetchTableRequest struct {
