once: check histories of several machines and bound tombstones by key age

Change: a simulation in virtual time runs four machines against a store and an upstream that counts runs by key; porcupine judges runs and answers by key. Each of eight rules can be switched off, and the test requires that this shows.

Conclusion: not_run because a read shows no record is untrue while an earlier submission waits at another host, so only a tombstone or the mark of the first submission leads to not_run.

--- a/once/config.go
+++ b/once/config.go
@@ -9,7 +9,8 @@
 )
 
 // Config holds the settings of a Machine. Journals, MaxAge and ClockError must
-// be the same on all hosts.
+// be the same on all hosts: another number of journals would let two hosts
+// record the same key.
 type Config struct {
 	Journals        int           // number of journal objects
 	MaxAge          time.Duration // oldest key that is accepted
@@ -24,15 +25,16 @@
 	MinDispatch     time.Duration // time to the deadline below which a record is released, not dispatched
 	OutcomeDelay    time.Duration // longest wait of an outcome for an update it can share
 	UpdateInterval  time.Duration // shortest time between updates of one journal
-	MaxJournalBytes int           // largest journal; claims stop TombstoneReserve earlier
+	MaxJournalBytes int           // largest journal
+	ClaimReserve    int           // part of a journal, in bytes, that claims leave free
 	MaxResultBytes  int           // largest result kept in a journal; above it a digest is kept
 	CacheTime       time.Duration // unused time after which a cached journal is dropped
 }
 
-// TombstoneReserve is the part of MaxJournalBytes, in bytes, that claims leave
-// free. Without it a full journal could not take a tombstone, and a refusal
-// could not be answered with RunNotRun.
-const TombstoneReserve = 64 << 10
+// claimReserve is the part of a journal that claims leave free by default. A
+// full journal could not take a tombstone, and a refusal could not be answered
+// with RunNotRun; 64 KiB hold several hundred tombstones.
+const claimReserve = 64 << 10
 
 // DefaultConfig returns the settings of the design page.
 func DefaultConfig() Config {
@@ -51,6 +53,7 @@
 		OutcomeDelay:    500 * time.Millisecond,
 		UpdateInterval:  100 * time.Millisecond,
 		MaxJournalBytes: platform.MaxValueBytes - 4<<10,
+		ClaimReserve:    claimReserve,
 		MaxResultBytes:  256,
 		CacheTime:       time.Minute,
 	}
@@ -67,9 +70,10 @@
 		return errors.New("batch, pending, tries and down-after must be at least 1")
 	case c.MinBackoff <= 0 || c.MaxBackoff < c.MinBackoff:
 		return errors.New("backoff must be positive and its maximum not below its minimum")
-	case c.MaxJournalBytes > platform.MaxValueBytes || c.MaxJournalBytes <= TombstoneReserve:
-		return errors.Newf("journal size %d is not between %d and %d bytes",
-			c.MaxJournalBytes, TombstoneReserve, platform.MaxValueBytes)
+	case c.MaxJournalBytes > platform.MaxValueBytes:
+		return errors.Newf("journal size %d is above %d bytes", c.MaxJournalBytes, platform.MaxValueBytes)
+	case c.ClaimReserve < 0 || c.ClaimReserve >= c.MaxJournalBytes:
+		return errors.Newf("claim reserve %d is not below the journal size %d", c.ClaimReserve, c.MaxJournalBytes)
 	}
 	return nil
 }
--- a/once/entry.go
+++ b/once/entry.go
@@ -146,11 +146,11 @@
 func (c *contents) add(line []byte) error {
 	s := &stored{line: bytes.Clone(line)}
 	if err := json.Unmarshal(line, &s.Entry); err != nil {
-		return errors.Mark(errors.Wrapf(err, "entry %d", len(c.order)), ErrJournal)
+		return errors.Wrapf(ErrJournal, "entry %d: %v", len(c.order), err)
 	}
 	key, err := ParseKey(s.Key)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "entry %d", len(c.order)), ErrJournal)
+		return errors.Wrapf(ErrJournal, "entry %d: %v", len(c.order), err)
 	}
 	if c.index[s.Key] != nil {
 		return errors.Wrapf(ErrJournal, "key %s twice", s.Key)
--- /dev/null
+++ b/once/history_test.go
@@ -0,0 +1,331 @@
+package once_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/marigoldlever/marigoldlever/once"
+)
+
+type stepKind int
+
+const (
+	stepSubmit stepKind = iota // a caller submits the key
+	stepAnswer                 // a caller is told an outcome
+	stepRun                    // the upstream runs the key
+)
+
+// step is one event of a key's history.
+type step struct {
+	key     string
+	kind    stepKind
+	outcome once.Outcome
+	result  string
+}
+
+func (s *sim) record(key string, st step) {
+	st.key = key
+	at := s.now.UnixNano()
+	s.history = append(s.history, porcupine.Operation{Input: st, Call: at, Return: at})
+}
+
+// keyState is the state of one key in the model.
+type keyState struct {
+	mayRun bool // a submission was made that no later not_run has ended
+	runs   int
+	result string
+}
+
+// model states what callers may be told of a key: it runs at most once, not_run
+// excludes every run that no later submission causes, ran means one run.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		var keys []string
+		for _, o := range history {
+			key := o.Input.(step).key
+			if byKey[key] == nil {
+				keys = append(keys, key)
+			}
+			byKey[key] = append(byKey[key], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, k := range keys {
+			parts = append(parts, byKey[k])
+		}
+		return parts
+	},
+	Init: func() any { return keyState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		k, st := state.(keyState), input.(step)
+		switch {
+		case st.kind == stepSubmit:
+			k.mayRun = true
+		case st.kind == stepRun:
+			return k.mayRun && k.runs == 0, keyState{mayRun: true, runs: 1, result: st.result}
+		case st.outcome.Run == once.RunRan:
+			known := st.outcome.Result == nil || string(st.outcome.Result) == k.result
+			return k.runs == 1 && known, k
+		case st.outcome.Run == once.RunNotRun:
+			k.mayRun = false
+			return k.runs == 0, k
+		}
+		return true, k
+	},
+}
+
+// caller submits one key, in turn, through changing hosts. A caller that numbers
+// its submissions waits for an answer, or gives the submission up, before the
+// next one. One that doesn't may have several on their way.
+type caller struct {
+	s        *sim
+	key      string
+	numbered bool
+	sent     int
+}
+
+const maxSubmissions = 5
+
+func (s *sim) newCaller(index int) *caller {
+	made := s.now.Add(s.skew())
+	if s.rule == clockOutOfRange {
+		made = s.now
+	}
+	return &caller{s: s, key: once.NewKey(made, fmt.Sprintf("rnd%05d", index)), numbered: s.chance(50)}
+}
+
+func (c *caller) submit() {
+	if c.sent >= maxSubmissions {
+		return
+	}
+	c.sent++
+	s := c.s
+	sub := once.Submission{Key: c.key, Service: "payout", Contract: "gate"}
+	if s.chance(5) {
+		sub.Body = []byte(`"another request"`)
+	}
+	if c.numbered {
+		sub.Number = uint32(c.sent)
+	}
+	open := true
+	s.record(c.key, step{kind: stepSubmit})
+	life := 50*time.Millisecond + s.upTo(2*time.Second)
+	tell := func(out once.Outcome) {
+		if !open {
+			return
+		}
+		open = false
+		s.told[out.Run]++
+		s.reasons[out.Reason]++
+		s.record(c.key, step{kind: stepAnswer, outcome: out})
+		c.again(70)
+	}
+	s.enter(s.hosts[s.rng.IntN(len(s.hosts))], sub, life, tell)
+	s.after(life+s.upTo(time.Second), func() {
+		if open {
+			open = false
+			c.again(90)
+		}
+	})
+	if !c.numbered {
+		c.again(30)
+	}
+}
+
+// again submits once more at some time, sometimes near the age limit of the key.
+func (c *caller) again(percent int) {
+	if !c.s.chance(percent) {
+		return
+	}
+	wait := c.s.upTo(500 * time.Millisecond)
+	if c.s.chance(10) {
+		wait = 90*time.Second + c.s.upTo(70*time.Second)
+	}
+	if key, err := once.ParseKey(c.key); err == nil && c.s.chance(10) {
+		limit := key.Time.Add(c.s.cfg.MaxAge).Sub(c.s.now) + c.s.skew()
+		wait = max(0, limit-c.s.upTo(3*time.Second))
+	}
+	c.s.after(wait, c.submit)
+}
+
+// enter is the entry host: it submits to its own machine or passes the
+// submission on to the writer, and refuses it when that connection breaks.
+func (s *sim) enter(e *simHost, sub once.Submission, life time.Duration, tell func(once.Outcome)) {
+	s.on(e, s.upTo(3*time.Millisecond), func(now time.Time) []once.Action {
+		sub.ID = fmt.Sprintf("%s/%d", sub.Key, s.seq)
+		sub.Deadline = now.Add(life)
+		w := s.writer(e, sub.Key)
+		if w == e {
+			e.answer[sub.ID] = s.truthful(sub.Key, tell)
+			e.answer[sub.Key] = tell // for lostIsNotRun
+			return e.m.Submit(now, sub)
+		}
+		s.forward(e, w, sub, life, tell)
+		return nil
+	})
+}
+
+// writer returns the writer of the key's journal by this host's view of the
+// live hosts, which may be wrong.
+func (s *sim) writer(e *simHost, key string) *simHost {
+	if s.chance(30) {
+		return e
+	}
+	var names []string
+	for _, h := range s.hosts {
+		if !s.chance(20) {
+			names = append(names, fmt.Sprint(h.index))
+		}
+	}
+	name := once.Writer(once.JournalOf(key, s.cfg.Journals), names)
+	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return fmt.Sprint(h.index) == name })
+	if i < 0 {
+		return e
+	}
+	return s.hosts[i]
+}
+
+// forward passes a submission on. The connection may break before or after the
+// writer gets it, and the writer may get it long after the break was noticed.
+func (s *sim) forward(e, w *simHost, sub once.Submission, life time.Duration, tell func(once.Outcome)) {
+	connected := true
+	local := sub
+	local.ID += "/refuse"
+	e.answer[local.ID] = s.truthful(sub.Key, tell)
+	broken := func(now time.Time) []once.Action {
+		if !connected {
+			return nil
+		}
+		connected = false
+		if s.rule == noTombstone {
+			tell(once.Outcome{Run: once.RunNotRun})
+			return nil
+		}
+		return e.m.Refuse(now, local)
+	}
+	delivery := s.upTo(5 * time.Millisecond)
+	if s.chance(25) {
+		s.on(e, s.upTo(40*time.Millisecond), broken)
+		delivery = s.upTo(time.Second)
+	} else {
+		s.on(e, life*7/10, broken)
+	}
+	if s.chance(10) {
+		return // lost on the way
+	}
+	s.on(w, delivery, func(now time.Time) []once.Action {
+		sub.Deadline = now.Add(life)
+		w.answer[sub.ID] = s.truthful(sub.Key, func(out once.Outcome) {
+			s.on(e, s.upTo(5*time.Millisecond), func(time.Time) []once.Action {
+				if connected {
+					connected = false
+					tell(out)
+				}
+				return nil
+			})
+		})
+		return w.m.Submit(now, sub)
+	})
+}
+
+// truthful passes answers on. Under readIsEnough it turns a refusal of a record
+// that this host won't write into not_run if the journal shows no record.
+func (s *sim) truthful(key string, tell func(once.Outcome)) func(once.Outcome) {
+	return func(out once.Outcome) {
+		refused := out.Reason == once.ReasonConflict || out.Reason == once.ReasonJournalFull
+		if s.rule == readIsEnough && refused {
+			entries, _ := once.DecodeJournal(s.store[once.JournalOf(key, s.cfg.Journals)].Value)
+			if !slices.ContainsFunc(entries, func(e once.Entry) bool { return e.Key == key }) {
+				out.Run = once.RunNotRun
+			}
+		}
+		tell(out)
+	}
+}
+
+// simulate runs one seed and returns the simulation and whether its history is
+// in keeping with the model.
+func simulate(seed uint64, r rule) (*sim, bool) {
+	const busy, limit = 160 * time.Second, 400 * time.Second
+	s := newSim(seed, r)
+	for i := range 30 {
+		start := s.upTo(4 * time.Second)
+		if i >= 15 {
+			start = 60*time.Second + s.upTo(90*time.Second)
+		}
+		s.after(start, func() { s.newCaller(i).submit() })
+	}
+	s.disturb(busy)
+	s.run(limit)
+	return s, porcupine.CheckOperations(model, s.history)
+}
+
+// Guards against a second run of a key and an untrue answer under kills,
+// freezes, outages, lost and late updates, broken forwarding and clock errors.
+func TestHistory(t *testing.T) {
+	seeds := uint64(200)
+	if testing.Short() {
+		seeds = 40
+	}
+	told := map[once.Run]int{}
+	reasons := map[once.Reason]int{}
+	runs := 0
+	for seed := range seeds {
+		s, ok := simulate(seed, allRules)
+		if !ok {
+			t.Errorf("seed %d: %s", seed, firstBad(s))
+		}
+		runs += len(s.runs)
+		for k, n := range s.told {
+			told[k] += n
+		}
+		for k, n := range s.reasons {
+			reasons[k] += n
+		}
+	}
+	t.Logf("%d seeds, %d keys run, answers %v, reasons %v", seeds, runs, told, reasons)
+	for _, r := range []once.Run{once.RunRan, once.RunNotRun, once.RunMayHaveRun} {
+		if told[r] == 0 {
+			t.Errorf("no caller was told %s", r)
+		}
+	}
+}
+
+// Guards against a check that can't fail: each rule switched off must show up.
+func TestHistoryFindsBrokenRules(t *testing.T) {
+	broken := []rule{earlyDispatch, lostIsSuccess, lostIsNotRun, noVersionCheck, noTombstone,
+		readIsEnough, clockOutOfRange, sharedHostName}
+	for _, r := range broken {
+		t.Run(string(r), func(t *testing.T) {
+			for seed := range uint64(400) {
+				if s, ok := simulate(seed, r); !ok {
+					t.Logf("seed %d: %s", seed, firstBad(s))
+					return
+				}
+			}
+			t.Error("no violation found")
+		})
+	}
+}
+
+// firstBad describes the history of the first key that breaks the model.
+func firstBad(s *sim) string {
+	for _, part := range model.Partition(s.history) {
+		if porcupine.CheckOperations(model, part) {
+			continue
+		}
+		text := part[0].Input.(step).key
+		names := map[stepKind]string{stepSubmit: "submit", stepAnswer: "told", stepRun: "run"}
+		for _, o := range part {
+			st := o.Input.(step)
+			at := time.Unix(0, o.Call).Sub(epoch).Round(time.Millisecond)
+			text += fmt.Sprintf("; %s %s %s %s", at, names[st.kind], st.outcome.Run, st.outcome.Reason)
+		}
+		return text
+	}
+	return "no key alone breaks the model"
+}
--- a/once/journal.go
+++ b/once/journal.go
@@ -192,7 +192,7 @@
 		}
 	}
 	if o.kind == opTombstone {
-		return m.placeTombstone(j, o)
+		return m.placeTombstone(now, j, o)
 	}
 	return m.placeClaim(now, j, o)
 }
--- a/once/machine.go
+++ b/once/machine.go
@@ -71,6 +71,7 @@
 	if reason, retry := m.reject(now, o); reason != "" {
 		return m.refuse(o, reason, retry)
 	}
+	heap.Push(&m.deadline, o)
 	if done, acts := m.known(j, o); done {
 		return acts
 	}
@@ -82,22 +83,18 @@
 	}
 	m.counter++
 	o.attempt = m.prefix + strconv.FormatUint(m.counter, 36)
-	heap.Push(&m.deadline, o)
 	j.queue = append(j.queue, o)
 	return m.advance(now, j)
 }
 
-// reject checks what needs no journal. A tombstone is written for keys of any
-// age that are not yet forgotten, because the host that the submission was
-// passed on to may judge the age by a slower clock.
+// reject checks what needs no journal. A tombstone needs an acceptable key as
+// well: the record of an older key may have been removed already by a host whose
+// clock is fast, so that an absent record does not show that nothing ran.
 func (m *Machine) reject(now time.Time, o *op) (Reason, time.Duration) {
 	if !o.sub.Deadline.After(now) {
 		return ReasonDeadline, 0
 	}
-	if o.kind == opClaim && !m.cfg.acceptable(now, o.key) {
-		return ReasonKeyAge, 0
-	}
-	if o.key.Time.Before(m.forgotten(now)) {
+	if !m.cfg.acceptable(now, o.key) {
 		return ReasonKeyAge, 0
 	}
 	return "", 0
--- a/once/place.go
+++ b/once/place.go
@@ -30,12 +30,12 @@
 	if o.tries >= m.cfg.MaxTries {
 		return m.withdraw(o, ReasonConflict)
 	}
-	if !m.room(j.contents, o, m.cfg.MaxJournalBytes-TombstoneReserve) {
+	if !m.room(j.contents, o, m.cfg.MaxJournalBytes-m.cfg.ClaimReserve) {
 		if o.sub.first() || o.phase != phaseQueued {
 			return m.withdraw(o, ReasonJournalFull)
 		}
 		o.kind = opTombstone
-		return m.placeTombstone(j, o)
+		return m.placeTombstone(now, j, o)
 	}
 	return m.put(j, o, Entry{State: StateClaimed, Attempt: o.attempt, Number: o.sub.Number})
 }
@@ -50,7 +50,8 @@
 }
 
 // bury writes a tombstone for a claim that was given up while an update that
-// may carry it is unsettled. If the earlier update took effect instead, the
+// may carry it is unsettled. The base version is the one for which the age of
+// the key was found acceptable, so the tombstone is as good as any other. If the earlier update took effect instead, the
 // record is found by its attempt id and released.
 func (m *Machine) bury(j *journal, o *op) (placement, []Action) {
 	e := j.contents.index[o.key.Text]
@@ -60,7 +61,12 @@
 	return m.put(j, o, Entry{State: StateTombstone, Attempt: o.attempt, Number: o.sub.Number})
 }
 
-func (m *Machine) placeTombstone(j *journal, o *op) (placement, []Action) {
+// placeTombstone bars a key. The age is checked again because the base version
+// may have been read after the check in accept.
+func (m *Machine) placeTombstone(now time.Time, j *journal, o *op) (placement, []Action) {
+	if !m.cfg.acceptable(now, o.key) {
+		return m.endRefused(o, ReasonKeyAge)
+	}
 	if o.tries >= m.cfg.MaxTries {
 		return m.endRefused(o, ReasonConflict)
 	}
@@ -107,7 +113,7 @@
 	if len(body) == 0 {
 		return nil, ""
 	}
-	full := c.bytes+len(body)+outcomeReserve*c.claimed > m.cfg.MaxJournalBytes-TombstoneReserve
+	full := c.bytes+len(body)+outcomeReserve*c.claimed > m.cfg.MaxJournalBytes-m.cfg.ClaimReserve
 	if full || len(body) > m.cfg.MaxResultBytes || !json.Valid(body) {
 		return nil, digest(string(body))
 	}
--- /dev/null
+++ b/once/sim_test.go
@@ -0,0 +1,346 @@
+package once_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/marigoldlever/marigoldlever/once"
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// rule names a rule that a run of the simulation breaks on purpose.
+type rule string
+
+const (
+	allRules        rule = ""
+	earlyDispatch   rule = "update counts as confirmed once it is sent"
+	lostIsSuccess   rule = "lost answer counts as confirmed"
+	lostIsNotRun    rule = "not_run after a lost answer without reading back"
+	noVersionCheck  rule = "paused writer does not rely on the object version"
+	noTombstone     rule = "not_run after a broken connection without a tombstone"
+	readIsEnough    rule = "not_run because a read shows no record"
+	clockOutOfRange rule = "clocks err more than the setting"
+	sharedHostName  rule = "restarted host takes the records of its predecessor for its own"
+)
+
+// event is a function that runs at a virtual time.
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// sim is several machines, a store, an upstream and callers in virtual time.
+type sim struct {
+	rng     *rand.Rand
+	rule    rule
+	cfg     once.Config
+	now     time.Time
+	seq     int
+	queue   events
+	hosts   []*simHost
+	store   map[int]platform.Object
+	outage  time.Time // the store refuses calls until then
+	runs    map[string]int
+	history []porcupine.Operation
+	told    map[once.Run]int
+	reasons map[once.Reason]int
+}
+
+// simHost is one host; a kill replaces its machine and raises gen.
+type simHost struct {
+	index  int
+	gen    int
+	m      *once.Machine
+	skew   time.Duration
+	frozen time.Time
+	tick   time.Time // next scheduled Tick, by the host's clock
+	answer map[string]func(once.Outcome)
+}
+
+var epoch = time.UnixMilli(1764831527000)
+
+func newSim(seed uint64, r rule) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), rule: r, now: epoch, cfg: once.DefaultConfig(),
+		store: map[int]platform.Object{}, runs: map[string]int{},
+		told: map[once.Run]int{}, reasons: map[once.Reason]int{},
+	}
+	s.cfg.Journals = 2
+	s.cfg.MaxBatch = 4
+	s.cfg.UpdateInterval = s.upTo(30 * time.Millisecond)
+	s.cfg.OutcomeDelay = s.upTo(500 * time.Millisecond)
+	s.cfg.MaxResultBytes = 4 + s.rng.IntN(12)
+	s.cfg.MaxTries = 2 + s.rng.IntN(6)
+	if s.chance(20) { // journals that get full
+		s.cfg.MaxJournalBytes = 400 + s.rng.IntN(1500)
+		s.cfg.ClaimReserve = 200
+	}
+	for i := range 4 {
+		h := &simHost{index: i, skew: s.skew()}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+	}
+	return s
+}
+
+func (s *sim) chance(percent int) bool { return s.rng.IntN(100) < percent }
+
+func (s *sim) upTo(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d) + 1)) }
+
+// skew is a clock's error. The machine's own check of the setting is what
+// clockOutOfRange switches off.
+func (s *sim) skew() time.Duration {
+	limit := s.cfg.ClockError
+	if s.rule == clockOutOfRange {
+		limit *= 4
+	}
+	return s.upTo(2*limit) - limit
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+func (s *sim) run(limit time.Duration) {
+	for len(s.queue) > 0 && s.now.Before(epoch.Add(limit)) {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.run()
+	}
+}
+
+func (s *sim) start(h *simHost) {
+	name := fmt.Sprintf("host-%d/%d", h.index, h.gen)
+	if s.rule == sharedHostName {
+		name = "host"
+	}
+	m, err := once.New(s.cfg, name, s.rng)
+	if err != nil {
+		panic(err)
+	}
+	h.m = m
+	h.tick = time.Time{}
+	h.answer = map[string]func(once.Outcome){}
+}
+
+// on runs a step of a host's present process after a delay. A frozen host runs
+// it when it thaws, a killed one never.
+func (s *sim) on(h *simHost, d time.Duration, step func(now time.Time) []once.Action) {
+	gen := h.gen
+	s.after(d, func() {
+		if h.gen != gen {
+			return
+		}
+		if wait := h.frozen.Sub(s.now); wait > 0 {
+			s.on(h, wait, step)
+			return
+		}
+		s.perform(h, step(s.now.Add(h.skew)))
+		s.wake(h)
+	})
+}
+
+// wake schedules the machine's next Tick, unless an earlier one is scheduled.
+func (s *sim) wake(h *simHost) {
+	at, ok := h.m.Next()
+	if !ok || !h.tick.IsZero() && !at.Before(h.tick) {
+		return
+	}
+	h.tick = at
+	s.on(h, max(at.Sub(s.now.Add(h.skew)), 0), func(now time.Time) []once.Action {
+		if !h.tick.Equal(at) {
+			return nil
+		}
+		h.tick = time.Time{}
+		return h.m.Tick(now)
+	})
+}
+
+// perform carries out actions, some of them after a pause of the process.
+func (s *sim) perform(h *simHost, acts []once.Action) {
+	for _, a := range acts {
+		pause := time.Duration(0)
+		if s.chance(5) {
+			pause = s.upTo(2 * time.Second)
+		}
+		s.on(h, pause, func(now time.Time) []once.Action {
+			switch a := a.(type) {
+			case once.Read:
+				s.read(h, a)
+			case once.Write:
+				return s.write(h, now, a)
+			case once.Dispatch:
+				s.dispatch(h, now, a)
+			case once.Answer:
+				if tell := h.answer[a.Submission.ID]; tell != nil {
+					tell(a.Outcome)
+				}
+			}
+			return nil
+		})
+	}
+}
+
+const callTimeout = 100 * time.Millisecond
+
+func (s *sim) read(h *simHost, a once.Read) {
+	done := func(d time.Duration, o platform.Object, err error) {
+		s.on(h, d, func(now time.Time) []once.Action { return h.m.ReadDone(now, a.Journal, o, err) })
+	}
+	s.after(s.upTo(10*time.Millisecond), func() {
+		if s.now.Before(s.outage) || s.chance(5) {
+			done(callTimeout, platform.Object{}, platform.ErrUnavailable)
+			return
+		}
+		o, err := s.store[a.Journal], error(nil)
+		if o.Version == 0 {
+			err = platform.ErrNotFound
+		}
+		done(s.upTo(10*time.Millisecond), o, err)
+	})
+}
+
+// write sends an update. It may get lost, take effect without an answer, or
+// take effect long after the host has given up waiting for the answer.
+func (s *sim) write(h *simHost, now time.Time, a once.Write) []once.Action {
+	gen := h.gen
+	done := func(d time.Duration, o platform.Object, err error) {
+		if h.gen != gen || s.rule == earlyDispatch {
+			return
+		}
+		s.on(h, d, func(now time.Time) []once.Action { return h.m.WriteDone(now, a.Journal, o, err) })
+	}
+	fate := s.rng.IntN(100)
+	delay := s.upTo(10 * time.Millisecond)
+	if fate < 10 {
+		delay = s.upTo(3 * time.Second)
+	}
+	s.after(delay, func() {
+		down := s.now.Before(s.outage)
+		if fate < 5 || down && fate < 50 {
+			return
+		}
+		if down {
+			done(0, platform.Object{}, platform.ErrUnavailable)
+			return
+		}
+		if fate > 97 {
+			done(0, platform.Object{}, platform.ErrBudget)
+			return
+		}
+		o, err := s.put(a)
+		if fate >= 15 {
+			done(s.upTo(10*time.Millisecond), o, err)
+		}
+	})
+	if fate < 15 || s.now.Before(s.outage) && fate < 50 {
+		o, err := s.lost(h, a)
+		done(callTimeout, o, err)
+	}
+	if s.rule == earlyDispatch {
+		return h.m.WriteDone(now, a.Journal, platform.Object{Version: a.Base + 1}, nil)
+	}
+	return nil
+}
+
+func (s *sim) put(a once.Write) (platform.Object, error) {
+	old := s.store[a.Journal]
+	if old.Version != a.Base && s.rule != noVersionCheck {
+		return platform.Object{}, platform.ErrConflict
+	}
+	o := platform.Object{Version: old.Version + 1, Value: a.Value}
+	s.store[a.Journal] = o
+	return o, nil
+}
+
+// lost returns what the host makes of a lost answer.
+func (s *sim) lost(h *simHost, a once.Write) (platform.Object, error) {
+	switch s.rule {
+	case lostIsSuccess:
+		return platform.Object{Version: a.Base + 1}, nil
+	case lostIsNotRun:
+		entries, _ := once.DecodeJournal(a.Value)
+		for _, e := range entries {
+			if tell := h.answer[e.Key]; tell != nil {
+				tell(once.Outcome{Run: once.RunNotRun})
+			}
+		}
+	}
+	return platform.Object{}, platform.ErrUnknownOutcome
+}
+
+// dispatch sends the request to the upstream, which counts runs by key.
+func (s *sim) dispatch(h *simHost, now time.Time, a once.Dispatch) {
+	if now.After(a.Submission.Deadline) {
+		return // the shell would report it as not sent; a lost report is worse
+	}
+	fate := s.rng.IntN(100)
+	r := once.DispatchResult{Kind: once.DispatchNotSent}
+	if fate >= 15 {
+		r.Kind = once.DispatchUnknown
+	}
+	s.after(s.upTo(20*time.Millisecond), func() {
+		if fate >= 20 {
+			body := s.upstream(a.Submission.Key)
+			if fate >= 35 {
+				r = once.DispatchResult{Kind: once.DispatchRan, Body: body}
+			}
+		}
+		s.on(h, s.upTo(50*time.Millisecond), func(now time.Time) []once.Action {
+			return h.m.DispatchDone(now, a.Attempt, r)
+		})
+	})
+}
+
+func (s *sim) upstream(key string) json.RawMessage {
+	s.runs[key]++
+	body := strconv.Itoa(s.rng.IntN(1 << 30))
+	s.record(key, step{kind: stepRun, result: body})
+	return json.RawMessage(body)
+}
+
+// disturb kills and freezes hosts and takes the store out, until the limit.
+func (s *sim) disturb(limit time.Duration) {
+	s.after(s.upTo(2*time.Second), func() {
+		if s.now.After(epoch.Add(limit)) {
+			return
+		}
+		h := s.hosts[s.rng.IntN(len(s.hosts))]
+		switch s.rng.IntN(10) {
+		case 0, 1:
+			h.gen++
+			h.frozen = time.Time{}
+			s.start(h)
+		case 2, 3, 4:
+			h.frozen = s.now.Add(s.upTo(2 * time.Second))
+		case 5:
+			h.frozen = s.now.Add(s.upTo(200 * time.Second))
+		case 6:
+			s.outage = s.now.Add(s.upTo(3 * time.Second))
+		}
+		s.disturb(limit)
+	})
+}
