Add the HTTP client of upstreams

Retries, hedges and non-idempotent requests depend on whether a request surely never reached an upstream. The client counts the bytes handed to each connection, sends every request at most once, checks the echoed attempt and service, and takes only a whole JSON object as an answer. Connections are limited per address by one transport each; a gate over requests keeps the limit while it changes.

--- /dev/null
+++ b/upstream/upstreamhttp/client.go
@@ -0,0 +1,232 @@
+// Package upstreamhttp is the HTTP client of upstreams.
+//
+// It limits the connections per upstream address, never sends a request twice,
+// and tells a request that was surely never sent (upstream.ErrConnect) from one
+// whose reply was lost (upstream.ErrBroken). A reply counts only if it is whole
+// and echoes the attempt; a refusal of another attempt does not show that this
+// one did not run.
+//
+// An address is "host:port", or "host:port/path" for an upstream behind a
+// shared listener.
+package upstreamhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+const (
+	workPath   = "/v1/work"
+	healthPath = "/v1/health"
+
+	defaultMaxReplyBytes = 8 << 20
+	// defaultReplyGrace is enough for the upstream's own 504 to arrive, which
+	// keeps the connection and carries its load.
+	defaultReplyGrace = 20 * time.Millisecond
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	// Connections is the limit of an address for which SetConnections was not
+	// called. 0 means that such an address is refused.
+	Connections int
+	// MaxReplyBytes bounds a reply. 0 means 8 MiB.
+	MaxReplyBytes int64
+	// ReplyGrace is how long after the deadline a reply is still awaited. 0
+	// means 20 ms.
+	ReplyGrace time.Duration
+	// Metrics receives the counters. Nil means that none are published.
+	Metrics metrics.Registry
+}
+
+// Client implements upstream.Client over HTTP.
+type Client struct {
+	cfg        Config
+	mismatches metrics.Counter
+
+	mu      sync.Mutex
+	targets map[string]*target
+}
+
+var _ upstream.Client = (*Client)(nil)
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	if cfg.MaxReplyBytes <= 0 {
+		cfg.MaxReplyBytes = defaultMaxReplyBytes
+	}
+	if cfg.ReplyGrace <= 0 {
+		cfg.ReplyGrace = defaultReplyGrace
+	}
+	registry := cfg.Metrics
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	return &Client{
+		cfg:        cfg,
+		mismatches: metrics.GetOrRegisterCounter("upstream.mismatches", registry),
+		targets:    make(map[string]*target),
+	}
+}
+
+// SetConnections sets the connection limit of an address. Requests in flight
+// above a lowered limit finish; at 0 no request is sent.
+func (c *Client) SetConnections(address string, n int) {
+	c.mu.Lock()
+	t, ok := c.targets[address]
+	if !ok {
+		c.targets[address] = newTarget(n)
+	}
+	c.mu.Unlock()
+	if ok {
+		t.setConnections(n)
+	}
+}
+
+// Forget drops the limit and the connections of an address that is no longer
+// used. Requests in flight finish.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	t, ok := c.targets[address]
+	delete(c.targets, address)
+	c.mu.Unlock()
+	if ok {
+		t.retire()
+	}
+}
+
+// Close drops the connections of all addresses. Requests in flight finish.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, t := range c.targets {
+		t.retire()
+		delete(c.targets, address)
+	}
+}
+
+func (c *Client) target(address string) *target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.targets[address]
+	if !ok {
+		t = newTarget(c.cfg.Connections)
+		c.targets[address] = t
+	}
+	return t
+}
+
+// wireRequest is a request as it is sent.
+type wireRequest struct {
+	upstream.Request
+	DeadlineMS int64 `json:"deadline_ms"`
+}
+
+// Do implements upstream.Client. It waits for a connection within the limit;
+// when the time ends before one is free, the error is upstream.ErrConnect.
+func (c *Client) Do(ctx context.Context, address string, r upstream.Request) (upstream.Reply, error) {
+	if r.Deadline <= 0 {
+		return upstream.Reply{}, failure(upstream.ErrConnect, address, "no time left")
+	}
+	body, err := json.Marshal(wireRequest{Request: r, DeadlineMS: milliseconds(r.Deadline)})
+	if err != nil {
+		return upstream.Reply{}, failure(upstream.ErrConnect, address, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+c.cfg.ReplyGrace)
+	defer cancel()
+	var trace sendTrace
+	a, err := c.exchange(ctx, &trace, address, http.MethodPost, workPath, body)
+	if err != nil {
+		return upstream.Reply{}, exchangeError(ctx, &trace, address, err)
+	}
+	reply, err := a.workReply(r)
+	if errors.Is(err, upstream.ErrMismatch) {
+		c.mismatches.Inc(1)
+		trace.drop()
+	}
+	if err != nil {
+		return reply, errors.Wrap(err, address)
+	}
+	return reply, nil
+}
+
+// answer is a response whose body was read to its end.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// exchange sends one request within the connection limit of the address.
+func (c *Client) exchange(ctx context.Context, trace *sendTrace, address, method, path string, body []byte) (answer, error) {
+	t := c.target(address)
+	l, err := t.enter(ctx)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "no connection is free")
+	}
+	defer t.leave(l)
+	req, err := http.NewRequestWithContext(trace.attach(ctx), method, targetURL(address, path), bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	// Without GetBody net/http sends a body at most once.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	return roundTrip(l.client, req, c.cfg.MaxReplyBytes)
+}
+
+// roundTrip sends req and reads the body to its end.
+func roundTrip(client *http.Client, req *http.Request, limit int64) (answer, error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return answer{}, errors.New("reply has neither length nor chunks, so its end cannot be told from a cut")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return answer{}, err
+	}
+	if int64(len(body)) > limit {
+		return answer{}, errors.Newf("reply is larger than %d bytes", limit)
+	}
+	return answer{status: resp.StatusCode, body: body}, nil
+}
+
+// exchangeError converts the error of an exchange without a whole reply.
+func exchangeError(ctx context.Context, trace *sendTrace, address string, err error) error {
+	switch {
+	case !trace.sent():
+		return failure(upstream.ErrConnect, address, err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return failure(upstream.ErrTimeout, address, err)
+	default:
+		return failure(upstream.ErrBroken, address, err)
+	}
+}
+
+func targetURL(address, path string) string {
+	return "http://" + strings.TrimSuffix(address, "/") + path
+}
+
+// milliseconds rounds up, so that no deadline becomes 0.
+func milliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// failure wraps one of the errors of package upstream with what was seen.
+func failure(kind error, address string, cause any) error {
+	return errors.Wrapf(kind, "%s: %v", address, cause)
+}
