capacity: recognise late notices of a restart and count step time at first use

Cause: with notices delayed by up to 80 ms, a co-owner's notice of a restart that rank 0 had already handled put rank 0 back to the floor while the co-owners still used the higher level; the property test found 2 requests in flight at level 1. A new limiter also left its first level without waiting for the step time.

Change: a notice says whether its sender is at the floor because of a new incarnation; owners that know the incarnation ignore it. The first level counts from the first request.

--- a/capacity/config.go
+++ b/capacity/config.go
@@ -177,4 +177,7 @@
 	Incarnation string
 	Level       int // slots of the whole upstream
 	Rank        int // of the sender
+	// Restart means that the sender is at the floor because it found a new
+	// incarnation, which an owner that knows the incarnation has done too.
+	Restart bool
 }
--- a/capacity/learn.go
+++ b/capacity/learn.go
@@ -62,6 +62,7 @@
 	}
 	if l.incarnation != "" {
 		l.chill(now)
+		l.restarted = true
 	}
 	l.replaceIncarnation(incarnation)
 }
--- a/capacity/limiter.go
+++ b/capacity/limiter.go
@@ -22,6 +22,7 @@
 	coldReported  bool // the last load report said cold
 	lastReply     time.Time
 	noticeDue     bool
+	restarted     bool // the last fall to the floor was a new incarnation
 
 	ramp   ramp
 	speed  speed
@@ -245,6 +246,9 @@
 func (l *Limiter) startBy(t Ticket) time.Time { return t.Deadline.Add(-l.speed.serviceTime()) }
 
 func (l *Limiter) start(now time.Time, id string) {
+	if l.ramp.since.IsZero() {
+		l.ramp.since = now // the first level counts from the first request
+	}
 	n := len(l.flight) + 1
 	l.flight[id] = flight{
 		at: now, levelSince: l.ramp.since,
--- a/capacity/limiter_test.go
+++ b/capacity/limiter_test.go
@@ -16,7 +16,7 @@
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20261204") // the same verdict on every run
-		_ = flag.Set("rapid.checks", "300")
+		_ = flag.Set("rapid.checks", "600")
 	}
 	os.Exit(m.Run())
 }
@@ -41,10 +41,39 @@
 	next     int
 	queued   map[string]time.Time // deadlines
 	flying   []string
+	level    int
+	levelAt  time.Time
+	full     map[string]time.Time // levelAt of requests that got the last slot of this owner
+	served   int                  // requests that got the last slot at this level
+	ceiling  int                  // of the last notice of rank 0
+}
+
+// checkLevel requires that the level rises by one step, after the step time and
+// enough served requests, and not above the notices of rank 0. A notice may
+// raise it to the first slot of this owner.
+func (m *model) checkLevel() {
+	level := m.l.ramp.level
+	if m.l.rank > 0 && level > m.ceiling {
+		m.t.Fatalf("level %d above that of rank 0, %d", level, m.ceiling)
+	}
+	shown := m.served >= m.l.cfg.GoodReplies && m.now.Sub(m.levelAt) >= m.l.cfg.StepTime
+	first := m.l.rank > 0 && level <= m.l.rank+1
+	if level > m.level && !first && (!shown || level > m.level+m.l.cfg.Step) {
+		m.t.Fatalf("level raised from %d to %d after %s and %d replies",
+			m.level, level, m.now.Sub(m.levelAt), m.served)
+	}
+	if level != m.level {
+		m.level, m.levelAt, m.served = level, m.now, 0
+	}
 }
 
 func (m *model) start(id string) {
 	m.flying = append(m.flying, id)
+	m.checkLevel()
+	m.full[id] = time.Time{}
+	if len(m.flying) >= m.l.portion() {
+		m.full[id] = m.levelAt
+	}
 	if m.draining || len(m.flying) > m.share {
 		m.t.Fatalf("start of %s with %d in flight, share %d, draining %t", id, len(m.flying), m.share, m.draining)
 	}
@@ -54,6 +83,7 @@
 }
 
 func (m *model) apply(c Changes) {
+	m.checkLevel()
 	for _, e := range c.Ended {
 		m.leaveQueue(e.ID)
 	}
@@ -97,12 +127,15 @@
 	i := rapid.IntRange(0, len(m.flying)-1).Draw(m.t, "which")
 	id := m.flying[i]
 	m.flying = append(m.flying[:i], m.flying[i+1:]...)
-	o := Outcome{Result: Result(max(0, rapid.IntRange(-12, int(Declined)).Draw(m.t, "result")))}
-	o.Incarnation = fmt.Sprint("i", rapid.IntRange(0, 1).Draw(m.t, "incarnation"))
+	o := Outcome{Result: Result(max(0, rapid.IntRange(-60, int(Declined)).Draw(m.t, "result")))}
+	o.Incarnation = fmt.Sprint("i", max(0, rapid.IntRange(-40, 1).Draw(m.t, "incarnation")))
 	if o.Result == Draining {
 		o.Incarnation = "" // a late reply of a replaced one would be ignored
 		m.draining = true
 	}
+	if o.Result == Served && m.full[id].Equal(m.levelAt) {
+		m.served++
+	}
 	m.apply(m.l.Done(m.now, id, o))
 }
 
@@ -146,6 +179,9 @@
 		m.apply(m.l.SetDraining(m.now, m.draining))
 	case 11:
 		n := Notice{Incarnation: "i0", Level: rapid.IntRange(1, 4).Draw(t, "level")}
+		if !m.l.replaced(n.Incarnation) {
+			m.ceiling = n.Level
+		}
 		m.apply(m.l.Notice(m.now, n))
 	case 12:
 		load := upstream.Load{Slots: rapid.IntRange(0, 4).Draw(t, "slots"), Cold: rapid.Bool().Draw(t, "cold")}
@@ -170,11 +206,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		m := &model{t: t, l: l, now: testStart, queued: map[string]time.Time{}}
+		m := &model{t: t, l: l, now: testStart, level: 1, levelAt: testStart, ceiling: 1}
+		m.queued, m.full = map[string]time.Time{}, map[string]time.Time{}
 		m.share = rapid.IntRange(0, 4).Draw(t, "share")
 		l.SetShare(m.now, m.share)
 		l.SetRank(m.now, rapid.IntRange(0, 1).Draw(t, "rank"), 2)
-		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			m.step(t)
 		}
 		m.advance(time.Minute)
--- a/capacity/owners_test.go
+++ b/capacity/owners_test.go
@@ -174,7 +174,7 @@
 func TestColdReplicaKeepsItsAllowance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, rapid.IntRange(2, 3).Draw(t, "owners"), rapid.IntRange(2, 6).Draw(t, "slots"))
-		f.maxDelay = rapid.IntRange(0, 10).Draw(t, "maximum delay")
+		f.maxDelay = rapid.IntRange(0, 80).Draw(t, "maximum delay")
 		f.lossPercent = rapid.SampledFrom([]int{0, 30}).Draw(t, "loss percent")
 		for range 3 {
 			for range rapid.IntRange(1, 600).Draw(t, "steps") {
--- a/capacity/ramp.go
+++ b/capacity/ramp.go
@@ -56,7 +56,7 @@
 // until it gets one.
 func (l *Limiter) Level(now time.Time) Notice {
 	l.checkSilence(now)
-	return Notice{Incarnation: l.incarnation, Level: l.level(), Rank: l.rank}
+	return Notice{Incarnation: l.incarnation, Level: l.level(), Rank: l.rank, Restart: l.restarted}
 }
 
 // TakeNotice returns the notice that has to go to the other owners, if the
@@ -92,6 +92,8 @@
 	level := max(l.cfg.Floor, min(n.Level, l.cfg.Slots))
 	known := n.Incarnation == l.incarnation || l.incarnation == "" || n.Incarnation == ""
 	switch {
+	case n.Restart && n.Rank != 0 && n.Incarnation == l.incarnation:
+		// This owner began at the floor as well.
 	case l.rank == 0 || n.Rank != 0:
 		if !known {
 			level = l.cfg.Floor
@@ -137,5 +139,6 @@
 func (l *Limiter) chill(now time.Time) {
 	l.ramp.chill(now, l.cfg.Floor)
 	l.coldReported = false
+	l.restarted = false
 	l.noticeDue = true
 }
