--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -60,6 +60,9 @@
 	finish   *Finish
 	finishAt time.Time
 	fault    error
+	version  uint64 // newest snapshot
+	lag      int    // one replica in lag holds only older snapshots
+	calm     int    // weight of a good reply
 }
 
 type event struct {
@@ -68,7 +71,9 @@
 }
 
 func newWorld(draw source) *world {
-	w := &world{draw: draw, stats: NewStats(), now: testStart, live: map[string]*Send{}}
+	w := &world{draw: draw, stats: NewStats(), now: testStart, live: map[string]*Send{}, version: 7}
+	w.lag = []int{2, 20, 1000}[draw("lag", 3)]
+	w.calm = []int{5, 50, 500}[draw("calm", 3)]
 	plan := Plan{
 		ID: "q", AnswerTime: testAnswerTime, LatencyGoal: 40 * time.Millisecond, Prefer: PreferCoverage,
 		MinimumCoverage: big.NewRat(int64(draw("minimum", 5)), 4),
@@ -103,8 +108,11 @@
 }
 
 func (w *world) held() []uint64 {
-	v := uint64(5 + w.draw("held", 3))
-	return []uint64{v, v + 1}
+	v := w.version
+	if w.draw("held", w.lag) == 0 {
+		v--
+	}
+	return []uint64{v - 1, v}
 }
 
 func (w *world) after(d time.Duration, run func() []Action) {
@@ -127,6 +135,9 @@
 	for i := range w.draw("repartitions", 3) {
 		w.after(w.millis(60), func() []Action { return w.m.Repartition(w.now, []Group{w.group("g0", i+1)}) })
 	}
+	for range w.draw("index changes", 3) {
+		w.after(w.millis(60), func() []Action { w.version++; return nil })
+	}
 	w.apply(w.m.Start(w.now))
 	for steps := 0; w.step(); steps++ {
 		if steps > 5000 {
@@ -209,32 +220,33 @@
 	}
 	if s.Snapshot == 0 {
 		r.Snapshot = held[1]
+	} else if !slices.Contains(held, s.Snapshot) {
+		w.failure(delay, s, Failure{Reason: ReasonSnapshot, Held: held})
+		return
 	}
-	switch w.draw("outcome", 14) {
+	switch w.draw("outcome", 9+w.calm) {
 	case 0:
 		w.failure(delay, s, Failure{Reason: ReasonShed})
 	case 1:
 		w.failure(delay, s, Failure{Reason: ReasonBroken})
 	case 2:
 		w.failure(delay, s, Failure{Reason: ReasonMoved})
-	case 3:
-		w.failure(delay, s, Failure{Reason: ReasonSnapshot, Held: held})
-	case 4: // lost
-	case 5: // crossed with another attempt
+	case 3: // lost
+	case 4: // crossed with another attempt
 		r.Attempt = w.sent[w.draw("crossed", len(w.sent))].Attempt
 		w.reply(delay, s, r)
-	case 6: // another snapshot
+	case 5: // another snapshot
 		r.Snapshot += uint64(w.draw("other", 3))
 		w.reply(delay, s, r)
-	case 7: // covers less
+	case 6: // covers less
 		if half := s.Partition.Start + (s.Partition.End-s.Partition.Start)/2; half != s.Partition.Start {
 			r.Partition.End = half
 		}
 		w.reply(delay, s, r)
-	case 8: // covers more, as before a split
+	case 7: // covers more, as before a split
 		r.Partition.End = 0
 		w.reply(delay, s, r)
-	case 9: // late and twice
+	case 8: // late and twice
 		w.reply(delay, s, r)
 		w.reply(delay+w.millis(150), s, r)
 	default:
