query: allocate the state of a query in one piece per kind

Cause: growing slices of services, attempts, parts and actions made up about 60 % of the bytes of a query with 620 sub-requests.

Change: the room is known from the plan and allocated once.

--- a/query/machine.go
+++ b/query/machine.go
@@ -15,6 +15,9 @@
 // same time.
 const minimumRetryInterval = time.Millisecond
 
+// spareAttempts is the room kept for hedges and retries.
+const spareAttempts = 16
+
 // taskState is the progress of one sub-request.
 type taskState uint8
 
@@ -150,6 +153,7 @@
 	m.started = true
 	m.start = now
 	m.addServices(m.plan.Groups)
+	m.attempts = make([]attempt, 0, len(m.services)+spareAttempts)
 	m.begin(now, 0)
 	m.counts.Primary = len(m.attempts)
 	m.budget.Earn(len(m.attempts))
--- a/query/send.go
+++ b/query/send.go
@@ -8,6 +8,7 @@
 
 // sendAll sends the first attempt of every waiting task.
 func (m *Machine) sendAll(now time.Time) {
+	m.out = slices.Grow(m.out, m.open)
 	for i := range m.tasks {
 		if m.tasks[i].state == waiting && m.tasks[i].due == never {
 			m.sendFirst(now, i)
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -19,7 +19,7 @@
 	}
 	m.discoverBy = (now.Sub(m.start) + m.finishBy) / 2
 	m.cancelAll(now, false)
-	m.parts = nil
+	m.parts = make([]Part, 0, len(m.services))
 	for i := range m.groups {
 		m.groups[i].merged = coverage{}
 	}
--- a/query/topology.go
+++ b/query/topology.go
@@ -100,22 +100,34 @@
 
 // addServices adds the services of the groups of the plan.
 func (m *Machine) addServices(groups []Group) {
+	services, replicas := 0, 0
+	for _, g := range groups {
+		services += len(g.Services)
+		for _, s := range g.Services {
+			replicas += min(len(s.Replicas), maxReplicas)
+		}
+	}
+	m.services = slices.Grow(m.services, services)
+	room := make([]replica, replicas)
 	for _, g := range groups {
 		index := m.groupIndex(g.Name)
 		if index < 0 {
 			continue
 		}
 		for _, s := range g.Services {
-			m.services = append(m.services, m.newService(index, s))
+			n := min(len(s.Replicas), maxReplicas)
+			m.services = append(m.services, m.newService(index, s, room[:n:n]))
+			room = room[n:]
 		}
 	}
 }
 
-func (m *Machine) newService(g int, s Service) service {
-	out := service{name: s.Name, group: g, partition: s.Partition, stats: m.stats.service(s.Name)}
-	n := min(len(s.Replicas), maxReplicas)
-	out.replicas = make([]replica, n)
-	for i, r := range s.Replicas[:n] {
+// newService fills replicas, which has room for those that are considered.
+func (m *Machine) newService(g int, s Service, replicas []replica) service {
+	out := service{
+		name: s.Name, group: g, partition: s.Partition, stats: m.stats.service(s.Name), replicas: replicas,
+	}
+	for i, r := range s.Replicas[:len(replicas)] {
 		unusable := r.Unusable
 		if unusable == "" && m.plan.DataCentres != nil && !slices.Contains(m.plan.DataCentres, r.DataCentre) {
 			unusable = ReasonOut
