query: allocate the sends of a batch together

Cause: each Send was one allocation of about 170 bytes.

Change: the sends of a round share one slice whose room is never exceeded.

--- a/query/machine.go
+++ b/query/machine.go
@@ -116,6 +116,7 @@
 	due         time.Duration // lower bound of the tasks' due times
 	counts      Counts
 	out         []Action
+	sends       []Send // room for the sends of a batch
 
 	// Rules that the property tests switch off to show that they matter.
 	ignoreSnapshot, ignoreOverlap bool
--- a/query/send.go
+++ b/query/send.go
@@ -9,6 +9,7 @@
 // sendAll sends the first attempt of every waiting task.
 func (m *Machine) sendAll(now time.Time) {
 	m.out = slices.Grow(m.out, m.open)
+	m.sends = make([]Send, 0, m.open)
 	for i := range m.tasks {
 		if m.tasks[i].state == waiting && m.tasks[i].due == never {
 			m.sendFirst(now, i)
@@ -49,12 +50,22 @@
 	rep.stats.inFlight++
 	rep.stats.used = now
 	s.stats.used = now
-	m.out = append(m.out, &Send{
+	m.emit(Send{
 		Attempt: id, Group: m.groups[t.group].name, Service: s.name, Replica: rep.id, DataCentre: rep.dataCentre,
 		Snapshot: m.snapshot, Partition: t.rng, Deadline: m.start.Add(m.replyBy), Hedge: hedge, Retry: retry,
 	})
 }
 
+// emit adds a send to the actions. Those of a batch share one allocation, whose
+// room is never exceeded, so that pointers into it stay valid.
+func (m *Machine) emit(s Send) {
+	if len(m.sends) == cap(m.sends) {
+		m.sends = make([]Send, 0, 1)
+	}
+	m.sends = append(m.sends, s)
+	m.out = append(m.out, &m.sends[len(m.sends)-1])
+}
+
 func (m *Machine) setDue(t *task, due time.Duration) {
 	t.due = due
 	m.due = min(m.due, due)
