query: cut the attempt ids of a batch from one string

Cause: building an id took up to two allocations, most of those left.

Change: ids have a fixed number of digits; a round builds all of its ids in one string. An id that only parses to the number of an attempt is no longer taken for that attempt.

--- a/query/machine.go
+++ b/query/machine.go
@@ -4,8 +4,6 @@
 	"math/big"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/marigoldlever/marigoldlever/upstream"
@@ -117,6 +115,7 @@
 	counts      Counts
 	out         []Action
 	sends       []Send // room for the sends of a batch
+	ids         idBatch
 
 	// Rules that the property tests switch off to show that they matter.
 	ignoreSnapshot, ignoreOverlap bool
@@ -237,26 +236,13 @@
 // dropped otherwise.
 func (m *Machine) take(id string) *attempt {
 	n, ok := attemptNumber(m.plan.ID, id)
-	if !ok || n >= len(m.attempts) || m.attempts[n].over || m.finished {
+	if !ok || n >= len(m.attempts) || m.attempts[n].id != id || m.attempts[n].over || m.finished {
 		m.counts.Dropped++
 		return nil
 	}
 	return &m.attempts[n]
 }
 
-// attemptID returns the id of the n-th attempt of a query.
-func attemptID(query string, n int) string { return query + "/" + strconv.Itoa(n) }
-
-// attemptNumber is the inverse of attemptID.
-func attemptNumber(query, id string) (int, bool) {
-	rest, ok := strings.CutPrefix(id, query)
-	if !ok || len(rest) < 2 || rest[0] != '/' {
-		return 0, false
-	}
-	n, err := strconv.Atoi(rest[1:])
-	return n, err == nil && n >= 0
-}
-
 // ended takes an attempt off the requests in flight and records its latency if
 // observe is set.
 func (m *Machine) ended(now time.Time, a *attempt, observe bool) {
--- a/query/send.go
+++ b/query/send.go
@@ -10,6 +10,7 @@
 func (m *Machine) sendAll(now time.Time) {
 	m.out = slices.Grow(m.out, m.open)
 	m.sends = make([]Send, 0, m.open)
+	m.ids.fill(m.plan.ID, len(m.attempts), m.open)
 	for i := range m.tasks {
 		if m.tasks[i].state == waiting && m.tasks[i].due == never {
 			m.sendFirst(now, i)
@@ -35,7 +36,7 @@
 	s := &m.services[t.service]
 	rep := &s.replicas[r]
 	at := now.Sub(m.start)
-	id := attemptID(m.plan.ID, len(m.attempts))
+	id := m.ids.take(m.plan.ID, len(m.attempts))
 	m.attempts = append(m.attempts, attempt{
 		id: id, task: i, service: t.service, replica: r, snapshot: m.snapshot, sentAt: at, first: t.tries == 0,
 	})
