--- a/once/attempt.go
+++ b/once/attempt.go
@@ -71,14 +71,20 @@
 	m.enqueue(now, j, a, opRelease, Outcome{RetryAfter: retry})
 }
 
+// enqueue queues the result of an attempt. An outcome only serves later resends
+// and may wait for an update that it can share; a caller waits for a release.
 func (m *Machine) enqueue(now time.Time, j *journal, a *attempt, kind opKind, out Outcome) {
-	j.queue = append(j.queue, &op{
+	wanted := now
+	if kind == opOutcome {
+		wanted = now.Add(m.cfg.OutcomeDelay)
+	}
+	j.append(&op{
 		kind:     kind,
 		sub:      a.op.sub,
 		key:      a.op.key,
 		digest:   a.op.digest,
 		attempt:  a.op.attempt,
-		queuedAt: now,
+		wanted:   wanted,
 		answered: true,
 		outcome:  out,
 	})
--- a/once/journal.go
+++ b/once/journal.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 	version   uint64
 	contents  *contents
 	queue     []*op
+	wanted    time.Time // earliest time at which one of the queue is wanted
 	reading   bool
 	flight    *batch
 	unsettled []*op  // operations in updates whose answer was lost
@@ -45,26 +47,30 @@
 	if len(j.queue) == 0 && len(j.unsettled) == 0 {
 		return time.Time{}, false
 	}
-	at := j.notBefore
-	if len(j.unsettled) == 0 && len(j.queue) < m.cfg.MaxBatch {
-		at = later(at, m.wanted(j))
+	if len(j.unsettled) > 0 || len(j.queue) >= m.cfg.MaxBatch {
+		return j.notBefore, true
 	}
-	return at, true
+	return later(j.notBefore, j.wanted), true
 }
 
-// wanted returns the time at which the queue should be written.
-func (m *Machine) wanted(j *journal) time.Time {
-	var first time.Time
-	for i, o := range j.queue {
-		at := o.queuedAt
-		if !o.urgent() {
-			at = at.Add(m.cfg.OutcomeDelay)
-		}
-		if i == 0 || at.Before(first) {
-			first = at
-		}
+// append adds an operation to the end of the queue.
+func (j *journal) append(o *op) {
+	if len(j.queue) == 0 || o.wanted.Before(j.wanted) {
+		j.wanted = o.wanted
+	}
+	j.queue = append(j.queue, o)
+}
+
+// prepend puts operations that were tried before to the front of the queue.
+func (j *journal) prepend(ops []*op) {
+	rest := j.queue
+	j.queue = make([]*op, 0, len(ops)+len(rest))
+	for _, o := range ops {
+		j.append(o)
+	}
+	for _, o := range rest {
+		j.append(o)
 	}
-	return first
 }
 
 func later(a, b time.Time) time.Time {
@@ -77,11 +83,14 @@
 // advance starts the read or update that is due. While a call is on its way,
 // further operations gather in the queue for the next update.
 func (m *Machine) advance(now time.Time, j *journal) []Action {
-	j.prune()
 	at, ok := m.due(j)
 	if !ok || now.Before(at) {
 		return nil
 	}
+	j.prune()
+	if len(j.queue) == 0 && len(j.unsettled) == 0 {
+		return nil
+	}
 	j.usedAt = now
 	if !j.known {
 		return j.read()
@@ -89,18 +98,12 @@
 	return m.compose(now, j)
 }
 
-// prune drops operations that nobody waits for and that are in no update.
+// prune drops submissions that have their answer and are in no update.
 func (j *journal) prune() {
-	kept := j.queue[:0]
-	for _, o := range j.queue {
-		if o.answered && o.phase == phaseQueued && (o.kind == opClaim || o.kind == opTombstone) {
-			o.phase = phaseEnded
-			continue
-		}
-		kept = append(kept, o)
-	}
-	clear(j.queue[len(kept):])
-	j.queue = kept
+	j.queue = slices.DeleteFunc(j.queue, func(o *op) bool {
+		submission := o.kind == opClaim || o.kind == opTombstone
+		return submission && o.answered && o.phase == phaseQueued
+	})
 }
 
 func (j *journal) read() []Action {
@@ -130,9 +133,10 @@
 	j.contents.expire(m.forgotten(now))
 	b := &batch{keys: make(map[string]bool)}
 	var acts []Action
-	var rest []*op
+	queue := j.queue
+	j.queue = nil
 	read := false
-	for _, o := range j.queue {
+	for _, o := range queue {
 		p := waiting
 		if len(b.ops) < m.cfg.MaxBatch && !b.keys[o.key.Text] {
 			var more []Action
@@ -145,12 +149,11 @@
 			b.keys[o.key.Text] = true
 		case unread:
 			read = true
-			rest = append(rest, o)
+			j.append(o)
 		case waiting:
-			rest = append(rest, o)
+			j.append(o)
 		}
 	}
-	j.queue = rest
 	if len(b.ops) > 0 || len(j.unsettled) > 0 {
 		// While updates are unsettled, even an unchanged value is written: its
 		// success is what keeps them from taking effect.
--- a/once/machine.go
+++ b/once/machine.go
@@ -65,7 +65,7 @@
 		return m.answer(o, Outcome{Run: RunNotRun, Reason: ReasonBadKey})
 	}
 	o.key = key
-	o.queuedAt = now
+	o.wanted = now
 	o.digest = digest(o.sub.Contract, o.sub.Service, string(o.sub.Body))
 	j := m.journals[JournalOf(key.Text, m.cfg.Journals)]
 	if reason, retry := m.reject(now, o); reason != "" {
@@ -83,7 +83,7 @@
 	}
 	m.counter++
 	o.attempt = m.prefix + strconv.FormatUint(m.counter, 36)
-	j.queue = append(j.queue, o)
+	j.append(o)
 	return m.advance(now, j)
 }
 
--- a/once/op.go
+++ b/once/op.go
@@ -34,19 +34,15 @@
 	key      Key
 	digest   string
 	attempt  string
-	queuedAt time.Time
-	asked    bool // a read or update was started after the submission
-	seen     bool // the journal is known as of after the submission
-	passedOn bool // the submission was sent to another host before
+	wanted   time.Time // when it should be written
+	asked    bool      // a read or update was started after the submission
+	seen     bool      // the journal is known as of after the submission
+	passedOn bool      // the submission was sent to another host before
 	answered bool
 	tries    int
 	outcome  Outcome // of an opOutcome
 }
 
-// urgent reports whether a caller waits for the operation. An outcome only
-// serves later resends and may wait for an update that it can share.
-func (o *op) urgent() bool { return o.kind != opOutcome }
-
 // attempt is a record that this machine wrote and may dispatch.
 type attempt struct {
 	op        *op
--- a/once/settle.go
+++ b/once/settle.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,7 +54,7 @@
 	}
 	ops := j.unsettled
 	if j.version == j.base {
-		j.queue = append(append([]*op{}, ops...), j.queue...)
+		j.prepend(ops)
 		return nil
 	}
 	j.unsettled = nil
@@ -67,7 +68,7 @@
 		o.phase = phaseQueued
 		again = append(again, o)
 	}
-	j.queue = append(again, j.queue...)
+	j.prepend(again)
 	return acts
 }
 
@@ -143,7 +144,7 @@
 			again = append(again, o)
 		}
 	}
-	j.queue = append(again, j.queue...)
+	j.prepend(again)
 }
 
 // lost handles an update whose answer was lost.
@@ -162,14 +163,7 @@
 // dropUnsettled takes unsettled operations out of the queue; they are in the
 // list of unsettled operations and come back after the next read.
 func (j *journal) dropUnsettled() {
-	kept := j.queue[:0]
-	for _, o := range j.queue {
-		if o.phase != phaseUnsettled {
-			kept = append(kept, o)
-		}
-	}
-	clear(j.queue[len(kept):])
-	j.queue = kept
+	j.queue = slices.DeleteFunc(j.queue, func(o *op) bool { return o.phase == phaseUnsettled })
 }
 
 // reached notes that the platform answered.
