--- /dev/null
+++ b/cmd/marigoldleverd/main.go
@@ -0,0 +1,99 @@
+// Command marigoldleverd is the daemon that runs on entry hosts.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/internal/daemon"
+	"github.com/marigoldlever/marigoldlever/internal/settings"
+	"github.com/marigoldlever/marigoldlever/internal/tracing"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0 // planned stop that cut off no request
+	exitFailed   = 1 // the daemon could not run
+	exitSettings = 2 // the command line or the settings are wrong
+	exitCutOff   = 3 // planned stop that cut off requests
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	klog.InitFlags(nil)
+	file := flag.String("settings", "", "settings `file` in INI format (required)")
+	check := flag.Bool("check", false, "check the settings, print every problem and exit")
+	keys := flag.Bool("keys", false, "print every accepted key with its default and exit")
+	flag.Parse()
+	defer klog.Flush()
+	if *keys {
+		printKeys()
+		return exitOK
+	}
+	if *file == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "marigoldleverd: -settings FILE is required, and there are no arguments")
+		flag.Usage()
+		return exitSettings
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if *check {
+		fmt.Printf("%s: no problems\n", *file)
+		return exitOK
+	}
+	return serve(s)
+}
+
+func serve(s settings.Settings) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	stopTracing, err := tracing.Start(ctx, tracing.Config{
+		File: s.Trace.File, OTLPAddress: s.Trace.OTLPAddress, Sample: s.Trace.Sample, Host: s.Host.ID, DataCentre: s.Host.DataCentre,
+	})
+	if err != nil {
+		klog.ErrorS(err, "Cannot start tracing")
+		return exitFailed
+	}
+	d, err := daemon.New(s)
+	if err != nil {
+		klog.ErrorS(err, "Cannot start")
+		return exitFailed
+	}
+	cutOff, err := d.Run(ctx)
+	if err := stopTracing(context.Background()); err != nil {
+		klog.V(1).InfoS("Trace spans lost", "err", err)
+	}
+	switch {
+	case err != nil:
+		klog.ErrorS(err, "Cannot run")
+		return exitFailed
+	case cutOff > 0:
+		fmt.Printf("stopped, %d requests cut off\n", cutOff)
+		return exitCutOff
+	default:
+		fmt.Println("stopped, 0 requests cut off")
+		return exitOK
+	}
+}
+
+func printKeys() {
+	for _, k := range settings.Keys() {
+		need := "default " + k.Default
+		if k.Required {
+			need = "required"
+		}
+		fmt.Printf("[%s] %s: %s (%s)\n", k.Section, k.Name, k.Accepted, need)
+	}
+}
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -30,6 +30,8 @@
 
 	state atomic.Pointer[directoryState]
 	held  sync.Map // replica id to []uint64
+	// draining holds the ids of replicas that are closed by their own signal.
+	draining sync.Map
 	// changes counts what makes cached plans out of date.
 	changes atomic.Uint64
 	plans   sync.Map // contract name to cachedGroups
@@ -125,10 +127,15 @@
 	now := time.Now()
 	before, _ := d.gate.May(now, r.Replica)
 	cold = d.gate.Report(now, r)
-	after, _ := d.gate.May(now, r.Replica)
+	after, reason := d.gate.May(now, r.Replica)
 	if before != after {
 		d.changes.Add(1)
 	}
+	if reason == drain.ReasonDraining {
+		d.draining.Store(r.Replica, struct{}{})
+	} else {
+		d.draining.Delete(r.Replica)
+	}
 	return cold, before == drain.Allowed && after != drain.Allowed
 }
 
@@ -283,11 +290,22 @@
 	if cached, ok := d.plans.Load(name); ok && cached.(cachedGroups).changes == changes {
 		return cached.(cachedGroups).groups
 	}
+	groups := d.describe(now, active, wanted)
+	d.plans.Store(name, cachedGroups{changes, groups})
+	return groups
+}
+
+// regroup describes the groups of a running query under the newest version.
+func (d *directory) regroup(wanted []string) []query.Group {
+	return d.describe(time.Now(), d.active(), wanted)
+}
+
+func (d *directory) describe(now time.Time, active *configuration.Active, wanted []string) []query.Group {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	groups := make([]query.Group, 0, len(wanted))
-	for _, groupName := range wanted {
-		g, ok := active.Group(groupName)
+	for _, name := range wanted {
+		g, ok := active.Group(name)
 		if !ok {
 			continue
 		}
@@ -297,7 +315,6 @@
 		}
 		groups = append(groups, query.Group{Name: g.Name, Services: services})
 	}
-	d.plans.Store(name, cachedGroups{changes, groups})
 	return groups
 }
 
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -68,6 +68,10 @@
 	if err := request.Decode(&item); err != nil {
 		return nil, err
 	}
+	if !r.begin() {
+		return nil, errLeaving
+	}
+	defer r.end()
 	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.execute", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	reply, err := r.executeHere(ctx, item.Replica, item.Request, item.deadline(time.Now()))
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -35,6 +35,11 @@
 	// writer returns the id and peer address of a journal's preferred writer.
 	writer func(journal int) (id, address string)
 
+	// begin counts another host's submission in and reports whether this host
+	// still takes such work; end counts it out.
+	begin func() bool
+	end   func()
+
 	machine *once.Machine
 	step    stepper[once.Action]
 	waiting sync.Map // submission id to chan once.Outcome
@@ -49,6 +54,7 @@
 	r := &journalRunner{
 		self: self, journals: cfg.Journals, store: store, node: node, dispatcher: d, machine: machine, ctx: ctx,
 		writer: func(int) (string, string) { return self, "" },
+		begin:  func() bool { return true }, end: func() {},
 	}
 	r.step.tick, r.step.next, r.step.perform = machine.Tick, machine.Next, r.perform
 	node.Handle(methodOnceSubmit, r.handleSubmit)
@@ -66,7 +72,7 @@
 	switch {
 	case err == nil:
 		return outcome
-	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge):
+	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge), isLeaving(err):
 		return r.submit(s, r.machine.Submit)
 	default:
 		// The writer may or may not have recorded it. A tombstone settles that:
@@ -95,6 +101,10 @@
 	if err := request.Decode(&m); err != nil {
 		return nil, err
 	}
+	if !r.begin() {
+		return nil, errLeaving
+	}
+	defer r.end()
 	return r.submit(once.Submission{
 		ID: m.ID, Key: m.Key, Number: m.Number, Contract: m.Contract, Service: m.Service, Body: m.Body,
 		Deadline: time.Now().Add(time.Duration(m.DeadlineUS) * time.Microsecond),
@@ -144,7 +154,12 @@
 	r.step.step(func(now time.Time) []once.Action { return r.machine.WriteDone(now, a.Journal, object, err) })
 }
 
+// dispatch runs a recorded request. It counts as work of this host until its
+// outcome was handed to the machine, so that a planned stop doesn't cut it off.
 func (r *journalRunner) dispatch(a once.Dispatch) {
+	if r.begin() {
+		defer r.end()
+	}
 	result := r.dispatcher.dispatch(r.ctx, a.Submission, a.Attempt)
 	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -40,6 +40,10 @@
 	registry metrics.Registry
 	tracer   trace.Tracer
 	pending  sync.Map // attempt id to *routed
+	// begin counts a batch of another host in and reports whether this host
+	// still takes such work; end counts it out.
+	begin func() bool
+	end   func()
 }
 
 // routed is an attempt on its way.
@@ -51,7 +55,10 @@
 }
 
 func newRouter(self string, lookup ownerLookup, g *gateway, node *peer.Node, registry metrics.Registry) *router {
-	r := &router{self: self, lookup: lookup, gateway: g, node: node, registry: registry, tracer: otel.Tracer("marigoldlever/router")}
+	r := &router{
+		self: self, lookup: lookup, gateway: g, node: node, registry: registry, tracer: otel.Tracer("marigoldlever/router"),
+		begin: func() bool { return true }, end: func() {},
+	}
 	node.Handle(methodWorkBatch, r.handleBatch)
 	node.Handle(methodWorkDone, r.handleDone)
 	node.Handle(methodWorkCancel, r.handleCancel)
@@ -159,8 +166,8 @@
 // did not run may be passed on to another owner.
 func ownerError(err error) error {
 	switch {
-	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge):
-		return errors.Mark(errors.Wrap(err, "owner not reached"), errNotOwner)
+	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge), isLeaving(err):
+		return errors.Mark(errors.Wrap(err, "owner did not take the request"), errNotOwner)
 	case errors.IsAny(err, context.DeadlineExceeded):
 		return errors.Mark(errors.Wrap(err, "owner did not answer"), upstream.ErrTimeout)
 	default:
@@ -228,6 +235,10 @@
 	if err := request.Decode(&batch); err != nil {
 		return nil, err
 	}
+	if !r.begin() {
+		return nil, errLeaving
+	}
+	defer r.end()
 	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.batch", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	now := time.Now()
--- a/internal/daemon/scatter.go
+++ b/internal/daemon/scatter.go
@@ -56,6 +56,7 @@
 	loop    *scatterLoop
 	ctx     context.Context
 	body    json.RawMessage
+	groups  []string // names of the groups that the query touches
 	machine *query.Machine
 	timer   *time.Timer
 	ended   bool
@@ -85,6 +86,9 @@
 	defer cancel()
 	loop := s.loops[s.next.Add(1)%uint64(len(s.loops))]
 	r := &scatterRun{scatter: s, loop: loop, ctx: attempts, body: body, done: make(chan struct{})}
+	for _, g := range plan.Groups {
+		r.groups = append(r.groups, g.Name)
+	}
 	r.start(plan)
 	select {
 	case <-r.done:
--- /dev/null
+++ b/internal/daemon/service.go
@@ -0,0 +1,302 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/big"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/configuration"
+	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/once"
+	"github.com/marigoldlever/marigoldlever/query"
+)
+
+const (
+	// notReadyRetryAfter is the wait asked of callers while this host has no
+	// configuration.
+	notReadyRetryAfter = time.Second
+	// patchTimeout bounds the work on one patch.
+	patchTimeout = 8 * time.Second
+	// shareDigits is the precision of a stated coverage.
+	shareDigits = 1_000_000
+)
+
+// Query implements api.Service.
+func (d *Daemon) Query(ctx context.Context, q api.QueryRequest) (api.Answer, error) {
+	if !d.begin(drain.CallerWork) {
+		return api.Answer{}, api.NewProblem(api.KindLeaving, "this host has stopped").WithRetry(true, 0)
+	}
+	defer d.end(drain.CallerWork)
+	started := time.Now()
+	plan, ok := d.directory.plan(started, d.attemptPrefix(q.RequestID), q.Contract)
+	if !ok {
+		return api.Answer{}, d.unknownContract(q.Contract)
+	}
+	limit, err := d.answerTime(plan.AnswerTime, q.DeadlineMS)
+	if err != nil {
+		return api.Answer{}, err
+	}
+	plan.AnswerTime = limit
+	plan.LatencyGoal = min(plan.LatencyGoal, limit)
+	plan.Tuning = d.tuning
+	finish, err := d.scatter.run(ctx, plan, q.Request)
+	if err != nil {
+		return api.Answer{}, api.NewProblem(api.KindDeadline, "the caller gave up: %v", err)
+	}
+	if finish.Refusal != nil {
+		return api.Answer{}, refusal(finish)
+	}
+	d.countSends(finish.Answer.Counts)
+	return answerOf(q.RequestID, finish.Answer, time.Since(started)), nil
+}
+
+func (d *Daemon) unknownContract(name string) error {
+	if d.directory.active() == nil {
+		return api.NewProblem(api.KindNotReady, "this host has no configuration yet").WithRetry(true, notReadyRetryAfter)
+	}
+	return api.NewProblem(api.KindNotFound, "the configuration has no contract %q", name).WithRetry(false, 0)
+}
+
+// answerTime returns the time for an answer: the contract's, or less if the
+// caller asks for less.
+func (d *Daemon) answerTime(contract time.Duration, deadlineMS int64) (time.Duration, error) {
+	if deadlineMS < 0 {
+		return 0, api.NewProblem(api.KindInvalid, "deadline_ms is negative").WithRetry(false, 0)
+	}
+	limit := min(contract, d.settings.Limits.LongestDeadline)
+	asked := time.Duration(deadlineMS) * time.Millisecond
+	if deadlineMS > 0 && asked < limit {
+		limit = asked
+	}
+	return limit, nil
+}
+
+func refusal(f query.Finish) error {
+	kind := api.KindBelowMinimum
+	if errors.Is(f.Refusal, query.ErrNoCommonSnapshot) {
+		kind = api.KindNoSnapshot
+	}
+	p := api.NewProblem(kind, "%v", f.Refusal)
+	coverage := coverageOf(f.Answer)
+	p.Coverage = &coverage
+	return p
+}
+
+func answerOf(id string, a query.Answer, elapsed time.Duration) api.Answer {
+	answer := api.Answer{
+		RequestID: id,
+		Snapshot:  a.Snapshot,
+		Coverage:  coverageOf(a),
+		Parts:     make([]api.Part, len(a.Parts)),
+		ElapsedMS: float64(elapsed.Microseconds()) / 1000,
+		Sends:     api.Sends{Primary: a.Counts.Primary, Hedges: a.Counts.Hedges, Retries: a.Counts.Retries},
+	}
+	for i, p := range a.Parts {
+		answer.Parts[i] = api.Part{Service: p.Service, Partition: p.Partition, Records: p.Records}
+	}
+	return answer
+}
+
+func coverageOf(a query.Answer) api.Coverage {
+	c := api.Coverage{Share: floorShare(a.Coverage), Complete: a.Coverage.Cmp(big.NewRat(1, 1)) == 0}
+	for _, g := range a.Groups {
+		group := api.GroupCoverage{Group: g.Name, Share: floorShare(g.Coverage)}
+		for _, m := range g.Missing {
+			group.Missing = append(group.Missing, api.Missing{Service: m.Service, Partition: m.Partition, Reason: string(m.Reason)})
+		}
+		c.Groups = append(c.Groups, group)
+	}
+	return c
+}
+
+// floorShare rounds down, so that a share below the whole is never stated as 1.
+func floorShare(r *big.Rat) float64 {
+	scaled := new(big.Int).Mul(r.Num(), big.NewInt(shareDigits))
+	scaled.Div(scaled, r.Denom())
+	return float64(scaled.Int64()) / shareDigits
+}
+
+// Execute implements api.Service.
+func (d *Daemon) Execute(ctx context.Context, e api.ExecuteRequest) (api.ExecuteAnswer, error) {
+	if !d.begin(drain.CallerWork) {
+		return api.ExecuteAnswer{}, api.NewProblem(api.KindLeaving, "this host has stopped").
+			WithRun(runBeforeJournal(e)).WithRetry(true, 0)
+	}
+	defer d.end(drain.CallerWork)
+	started := time.Now()
+	limit, err := d.checkExecute(e)
+	if err != nil {
+		return api.ExecuteAnswer{}, err
+	}
+	outcome := d.journal.execute(ctx, once.Submission{
+		ID: d.attemptPrefix(e.RequestID), Key: e.Key, Number: uint32(e.SubmissionNumber),
+		Contract: e.Contract, Service: e.Service, Body: e.Request, Deadline: started.Add(limit),
+	})
+	if outcome.Run != once.RunRan || outcome.Reason == once.ReasonKeyReused {
+		return api.ExecuteAnswer{}, problemOfOutcome(outcome)
+	}
+	return api.ExecuteAnswer{
+		RequestID: e.RequestID, Key: e.Key, Run: api.Ran, Result: resultOf(outcome),
+		Resent: outcome.Reason == once.ReasonRecorded, ElapsedMS: float64(time.Since(started).Microseconds()) / 1000,
+	}, nil
+}
+
+// runBeforeJournal tells what is known of a key before its journal was read.
+func runBeforeJournal(e api.ExecuteRequest) api.Run {
+	if e.SubmissionNumber == 1 {
+		return api.NotRun
+	}
+	return api.MayHaveRun
+}
+
+func (d *Daemon) checkExecute(e api.ExecuteRequest) (time.Duration, error) {
+	active := d.directory.active()
+	if active == nil {
+		return 0, api.NewProblem(api.KindNotReady, "this host has no configuration yet").
+			WithRun(runBeforeJournal(e)).WithRetry(true, notReadyRetryAfter)
+	}
+	limits, ok := active.Contract(e.Contract)
+	if !ok {
+		return 0, api.NewProblem(api.KindNotFound, "the configuration has no contract %q", e.Contract).
+			WithRun(runBeforeJournal(e)).WithRetry(false, 0)
+	}
+	group, _, ok := active.Service(e.Service)
+	if !ok || !slices.Contains(limits.Groups, group.Name) {
+		return 0, api.NewProblem(api.KindNotFound, "contract %q has no service %q", e.Contract, e.Service).
+			WithRun(runBeforeJournal(e)).WithRetry(false, 0)
+	}
+	return d.answerTime(limits.AnswerTime, e.DeadlineMS)
+}
+
+func resultOf(o once.Outcome) json.RawMessage {
+	if len(o.Result) > 0 || o.ResultDigest == "" {
+		return o.Result
+	}
+	digest, err := json.Marshal(map[string]string{"digest": o.ResultDigest})
+	if err != nil {
+		return nil
+	}
+	return digest
+}
+
+var kindOfReason = map[once.Reason]api.Kind{
+	once.ReasonClaimed:      api.KindKeyInProgress,
+	once.ReasonTombstone:    api.KindUpstream,
+	once.ReasonReleased:     api.KindOverloaded,
+	once.ReasonReplyLost:    api.KindUnknown,
+	once.ReasonRecorded:     api.KindUnknown,
+	once.ReasonDeadline:     api.KindDeadline,
+	once.ReasonBadKey:       api.KindInvalid,
+	once.ReasonKeyAge:       api.KindKeyExpired,
+	once.ReasonKeyReused:    api.KindKeyReused,
+	once.ReasonPlatformDown: api.KindPlatform,
+	once.ReasonBusy:         api.KindOverloaded,
+	once.ReasonConflict:     api.KindOverloaded,
+	once.ReasonJournalFull:  api.KindJournalFull,
+	once.ReasonJournalBad:   api.KindInternal,
+}
+
+// problemOfOutcome converts an outcome that is not a result. Sending the same key
+// again is safe except where the key itself can't be used.
+func problemOfOutcome(o once.Outcome) error {
+	kind, ok := kindOfReason[o.Reason]
+	if !ok {
+		kind = api.KindInternal
+	}
+	safe := o.Reason != once.ReasonBadKey && o.Reason != once.ReasonKeyAge && o.Reason != once.ReasonKeyReused
+	return api.NewProblem(kind, "%s", o.Reason).WithRun(api.Run(o.Run)).WithRetry(safe, o.RetryAfter)
+}
+
+var patchTypes = map[string]configuration.PatchType{
+	"merge":      configuration.MergePatch,
+	"json-patch": configuration.JSONPatch,
+}
+
+// Patch implements api.Service.
+func (d *Daemon) Patch(ctx context.Context, p api.PatchRequest) (api.PatchAnswer, error) {
+	patchType, ok := patchTypes[p.Type]
+	if !ok {
+		return api.PatchAnswer{}, api.NewProblem(api.KindInvalid, "type %q: accepted are merge and json-patch", p.Type).WithRetry(false, 0)
+	}
+	if !d.begin(drain.CallerWork) {
+		return api.PatchAnswer{}, api.NewProblem(api.KindLeaving, "this host has stopped")
+	}
+	defer d.end(drain.CallerWork)
+	now := time.Now()
+	result, err := d.configuration.patch(ctx, configuration.Patch{
+		ID: p.ID, Base: p.Base, Author: p.Author, Type: patchType, Body: p.Patch,
+	}, now.Add(patchTimeout))
+	if err != nil {
+		return api.PatchAnswer{}, problemOfPatch(err)
+	}
+	return api.PatchAnswer{Number: result.Number, Known: result.Resent}, nil
+}
+
+func problemOfPatch(err error) error {
+	var stale *configuration.StaleError
+	var invalid *configuration.InvalidError
+	switch {
+	case errors.As(err, &stale):
+		p := api.NewProblem(api.KindStaleBase, "base %d is not the current number %d", stale.Base, stale.Current).WithRetry(false, 0)
+		p.Current = stale.Current
+		p.Differences, _ = json.Marshal(stale.Differences)
+		if stale.Forgotten {
+			p.Run = api.MayHaveRun
+		}
+		return p
+	case errors.As(err, &invalid):
+		p := api.NewProblem(api.KindPatchRefused, "the patched document is invalid").WithRetry(false, 0)
+		for _, problem := range invalid.Problems {
+			p.Errors = append(p.Errors, problem.Error())
+		}
+		return p
+	case errors.IsAny(err, configuration.ErrPatch, configuration.ErrIDReused, configuration.ErrTooLarge):
+		return api.NewProblem(api.KindPatchRefused, "%v", err).WithRetry(false, 0)
+	case errors.Is(err, configuration.ErrBusy):
+		return api.NewProblem(api.KindOverloaded, "%v", err)
+	case errors.Is(err, configuration.ErrUnavailable):
+		return api.NewProblem(api.KindPlatform, "%v", err)
+	default:
+		return api.NewProblem(api.KindUnknown, "%v; send the patch again with the same id", err).WithRun(api.MayHaveRun)
+	}
+}
+
+// Configuration implements api.Service.
+func (d *Daemon) Configuration(_ context.Context, number uint64) (api.ConfigurationAnswer, error) {
+	active := d.directory.active()
+	if active == nil {
+		return api.ConfigurationAnswer{}, api.NewProblem(api.KindNotReady, "this host has no configuration yet").WithRetry(true, notReadyRetryAfter)
+	}
+	if number != 0 && number != active.Number {
+		return api.ConfigurationAnswer{}, api.NewProblem(api.KindNotFound,
+			"only the version in force, %d, is kept as a whole; history lists the patches", active.Number).WithRetry(false, 0)
+	}
+	document, err := json.Marshal(active.Document)
+	if err != nil {
+		return api.ConfigurationAnswer{}, errors.Wrap(err, "encode configuration")
+	}
+	return api.ConfigurationAnswer{Number: active.Number, Digest: active.Digest, Document: document}, nil
+}
+
+// History implements api.Service.
+func (d *Daemon) History(context.Context) ([]api.HistoryEntry, error) {
+	records := d.configuration.history()
+	entries := make([]api.HistoryEntry, len(records))
+	for i, r := range records {
+		entries[i] = api.HistoryEntry{ID: r.ID, Number: r.Number, Type: string(r.Type), Author: r.Author, Time: r.Time}
+	}
+	return entries, nil
+}
+
+// Ready implements api.Service.
+func (d *Daemon) Ready() (bool, string) {
+	var ready bool
+	var reason string
+	d.lifecycle.step.view(func(time.Time) { ready, reason = d.lifecycle.host.Ready() })
+	return ready, reason
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/ownership"
+	"github.com/marigoldlever/marigoldlever/peer"
+)
+
+const (
+	// statusTimeout bounds the question to one host.
+	statusTimeout = time.Second
+	// statusParallel bounds how many hosts are asked at a time.
+	statusParallel = 64
+)
+
+// Status implements api.Service.
+func (d *Daemon) Status(ctx context.Context, all bool) (api.Status, error) {
+	status := api.Status{Host: d.hostStatus()}
+	if !all {
+		return status, nil
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, statusParallel)
+	status.Hosts = append(status.Hosts, status.Host)
+	for _, h := range d.members.others() {
+		wait.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wait.Done()
+			host := d.askStatus(ctx, h)
+			<-slots
+			mu.Lock()
+			defer mu.Unlock()
+			status.Hosts = append(status.Hosts, host)
+		}()
+	}
+	wait.Wait()
+	slices.SortFunc(status.Hosts, func(a, b api.HostStatus) int {
+		return strings.Compare(a.DataCentre+"/"+a.ID, b.DataCentre+"/"+b.ID)
+	})
+	return status, nil
+}
+
+func (d *Daemon) askStatus(ctx context.Context, h knownHost) api.HostStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var status api.HostStatus
+	if err := d.node.Call(ctx, h.peerAddress, methodStatusHost, struct{}{}, &status); err != nil {
+		return api.HostStatus{ID: h.id, DataCentre: h.dataCentre, Phase: "unknown", ProofAgeMS: -1, Error: err.Error()}
+	}
+	return status
+}
+
+func (d *Daemon) hostStatus() api.HostStatus {
+	ready, reason := d.Ready()
+	status := api.HostStatus{
+		ID: d.settings.Host.ID, DataCentre: d.settings.Host.DataCentre, Phase: string(d.lifecycle.phase()),
+		Ready: ready, Reason: reason, Configuration: d.configuration.number(), InFlight: d.lifecycle.inFlight(),
+		Members: d.members.count(), ProofAgeMS: -1,
+	}
+	d.directory.withHolder(func(now time.Time, h *ownership.Holder) {
+		status.TableEpoch = h.Table().Epoch
+		if _, age, ok := h.Proof(now); ok {
+			status.ProofAgeMS = age.Milliseconds()
+		}
+	})
+	return status
+}
+
+func (d *Daemon) handleStatus(context.Context, peer.Request) (any, error) {
+	return d.hostStatus(), nil
+}
--- /dev/null
+++ b/internal/daemon/tables.go
@@ -0,0 +1,224 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/ownership"
+	"github.com/marigoldlever/marigoldlever/peer"
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// fetchTimeout bounds the fetch of a table from a peer.
+const fetchTimeout = 500 * time.Millisecond
+
+// tableRunner keeps the ownership tables: it writes the one of this host's data
+// centre together with its peers and follows those of the others.
+type tableRunner struct {
+	dataCentre string
+	store      platform.Store
+	node       *peer.Node
+	directory  *directory
+	keeper     *ownership.Keeper
+	step       stepper[ownership.Action]
+	ctx        context.Context
+	// ahead returns the peer addresses of hosts that know at least the epoch.
+	ahead func(dataCentre string, epoch uint64) []string
+	// changed is called after a table or a proof was taken.
+	changed func()
+}
+
+func newTableRunner(ctx context.Context, cfg ownership.KeeperConfig, dataCentre string, self ownership.Member, store platform.Store, node *peer.Node, d *directory) *tableRunner {
+	r := &tableRunner{
+		dataCentre: dataCentre, store: store, node: node, directory: d, ctx: ctx,
+		keeper:  ownership.NewKeeper(cfg, dataCentre, self),
+		ahead:   func(string, uint64) []string { return nil },
+		changed: func() {},
+	}
+	r.step.tick, r.step.perform = r.keeper.Tick, r.perform
+	r.step.next = func() (time.Time, bool) {
+		next := r.keeper.Next(time.Now())
+		return next, !next.IsZero()
+	}
+	node.Handle(methodOwnershipFetch, r.handleFetch)
+	return r
+}
+
+// start makes the first read.
+func (r *tableRunner) start() { r.step.step(r.keeper.Tick) }
+
+func (r *tableRunner) perform(now time.Time, actions []ownership.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ownership.Read:
+			go r.read(a.DataCentre)
+		case ownership.Write:
+			go r.write(a)
+		case ownership.Adopt:
+			r.adopt(now, a.Table)
+		case ownership.Prove:
+			r.prove(a.Epoch, a.SentAt)
+		case ownership.Fetch:
+			go r.fetch(a)
+		}
+	}
+}
+
+func (r *tableRunner) adopt(now time.Time, t ownership.Table) {
+	klog.InfoS("Ownership table adopted", "dataCentre", t.DataCentre, "epoch", t.Epoch, "members", len(t.Members))
+	r.directory.setTable(now, t)
+	r.changed()
+}
+
+// prove passes a proof to the holder, which ignores one for another epoch than
+// its table's.
+func (r *tableRunner) prove(epoch uint64, sentAt time.Time) {
+	r.directory.withHolder(func(now time.Time, h *ownership.Holder) { h.Prove(now, epoch, sentAt) })
+}
+
+// readTable reads a table from the platform. An absent object is a table of epoch
+// 0.
+func (r *tableRunner) readTable(ctx context.Context, dataCentre string) (ownership.Table, error) {
+	object, err := r.store.Get(ctx, ownership.ObjectName(dataCentre))
+	if errors.Is(err, platform.ErrNotFound) {
+		return ownership.Table{DataCentre: dataCentre}, nil
+	}
+	if err != nil {
+		return ownership.Table{}, err
+	}
+	return decodeTable(dataCentre, object)
+}
+
+func decodeTable(dataCentre string, object platform.Object) (ownership.Table, error) {
+	var t ownership.Table
+	if err := json.Unmarshal(object.Value, &t); err != nil {
+		return ownership.Table{}, errors.Wrapf(err, "decode ownership table of %s", dataCentre)
+	}
+	t.DataCentre = dataCentre
+	t.Epoch = object.Version
+	return t, nil
+}
+
+func (r *tableRunner) read(dataCentre string) {
+	sentAt := time.Now()
+	t, err := r.readTable(r.ctx, dataCentre)
+	r.step.step(func(now time.Time) []ownership.Action {
+		return r.keeper.ReadDone(now, sentAt, t, resultOfCall(err))
+	})
+}
+
+func (r *tableRunner) write(a ownership.Write) {
+	sentAt := time.Now()
+	var object platform.Object
+	value, err := json.Marshal(a.Table)
+	if err == nil {
+		object, err = r.store.Put(r.ctx, ownership.ObjectName(r.dataCentre), a.Base, value)
+	}
+	r.step.step(func(now time.Time) []ownership.Action {
+		return r.keeper.WriteDone(now, sentAt, object.Version, resultOfCall(err))
+	})
+}
+
+func resultOfCall(err error) ownership.Result {
+	switch {
+	case err == nil:
+		return ownership.Done
+	case errors.Is(err, platform.ErrConflict):
+		return ownership.Conflict
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget, platform.ErrTooLarge):
+		return ownership.Unavailable
+	default:
+		return ownership.Unknown
+	}
+}
+
+// fetch gets a table from a peer that is ahead, or else from the platform.
+func (r *tableRunner) fetch(f ownership.Fetch) {
+	t, ok := r.fetchFromPeers(f)
+	if !ok {
+		var err error
+		if t, err = r.readTable(r.ctx, f.DataCentre); err != nil {
+			return
+		}
+	}
+	r.learn(t)
+}
+
+func (r *tableRunner) fetchFromPeers(f ownership.Fetch) (ownership.Table, bool) {
+	for _, address := range r.ahead(f.DataCentre, f.Epoch) {
+		ctx, cancel := context.WithTimeout(r.ctx, fetchTimeout)
+		var m tableMessage
+		err := r.node.Call(ctx, address, methodOwnershipFetch, fetchTableRequest{DataCentre: f.DataCentre}, &m)
+		cancel()
+		if err == nil && m.Epoch >= f.Epoch {
+			return m.table(), true
+		}
+	}
+	return ownership.Table{}, false
+}
+
+func (r *tableRunner) learn(t ownership.Table) {
+	if t.Epoch == 0 {
+		return
+	}
+	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Learn(now, t) })
+	if t.DataCentre != r.dataCentre {
+		r.directory.setTable(time.Now(), t)
+	}
+}
+
+// heard notes that a peer knows an epoch.
+func (r *tableRunner) heard(dataCentre string, epoch uint64) {
+	if dataCentre == r.dataCentre {
+		r.directory.withHolder(func(_ time.Time, h *ownership.Holder) { h.Heard(epoch) })
+	}
+	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Heard(now, dataCentre, epoch) })
+}
+
+func (r *tableRunner) observe(peers []ownership.Peer) {
+	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Observe(now, peers) })
+}
+
+// release ends this host's rights and returns once the table no longer names it,
+// or when ctx ends.
+func (r *tableRunner) release(ctx context.Context) {
+	r.directory.withHolder(func(_ time.Time, h *ownership.Holder) { h.Release() })
+	r.step.step(r.keeper.Release)
+	for ctx.Err() == nil {
+		released := false
+		r.step.view(func(time.Time) { released = r.keeper.Released() })
+		if released {
+			return
+		}
+		sleep(ctx, releasePoll)
+	}
+}
+
+// releasePoll is the time between two looks at whether the release is written.
+const releasePoll = 20 * time.Millisecond
+
+// tableMessage is a table with its epoch, which the stored form leaves out.
+type tableMessage struct {
+	Epoch uint64          `json:"epoch"`
+	Table ownership.Table `json:"table"`
+}
+
+func (m tableMessage) table() ownership.Table {
+	t := m.Table
+	t.Epoch = m.Epoch
+	return t
+}
+
+func (r *tableRunner) handleFetch(_ context.Context, request peer.Request) (any, error) {
+	var f fetchTableRequest
+	if err := request.Decode(&f); err != nil {
+		return nil, err
+	}
+	var t ownership.Table
+	r.step.view(func(time.Time) { t = r.keeper.Table(f.DataCentre) })
+	return tableMessage{Epoch: t.Epoch, Table: t}, nil
+}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -18,15 +19,30 @@
 	methodWorkExecute    = "work.execute"
 	methodConfigFetch    = "config.fetch"
 	methodOwnershipFetch = "ownership.fetch"
+	methodOwnershipProof = "ownership.proof"
 	methodOnceSubmit     = "once.submit"
 	methodColdNotice     = "cold.notice"
 	methodStatusHost     = "status.host"
+	methodHostsList      = "hosts.list"
+	methodUpstreamState  = "upstream.state"
 )
 
 // errNotOwner reports that a host has no right to the upstream's slots now; the
 // request was not sent.
 var errNotOwner = errors.New("host is not an owner of the upstream")
 
+// codeLeaving is the code of errLeaving on the wire.
+const codeLeaving = 100
+
+// errLeaving is the answer of a host that leaves and takes no more work from
+// others. The request surely did not run.
+var errLeaving = &peer.RemoteError{Code: codeLeaving, Message: "host is leaving"}
+
+func isLeaving(err error) bool {
+	var remote *peer.RemoteError
+	return errors.As(err, &remote) && remote.Code == codeLeaving
+}
+
 // workItem is one sub-request for an upstream of the receiving owner.
 type workItem struct {
 	Replica    string           `json:"replica"`
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -19,6 +19,8 @@
 	shortestHeartbeat  = 50 * time.Millisecond
 	longestHeartbeat   = 10 * time.Second
 	longestAnswerLimit = 10 * time.Minute
+	// shortestLeave is how long peers may take to hear that a host leaves.
+	shortestLeave = 2 * time.Second
 )
 
 var sectionNames = []string{"host", "platform", "peers", "limits", "ownership",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -176,9 +176,9 @@
 		problems = append(problems, Problem{name, "host", "peer_address", s.Host.PeerAddress,
 			"an address other than caller_address"})
 	}
-	if s.Drain.Grace <= s.Drain.BalancerLag {
+	if least := max(s.Drain.BalancerLag, shortestLeave) + s.Limits.LongestDeadline; s.Drain.Grace < least {
 		problems = append(problems, Problem{name, "drain", "grace", s.Drain.Grace.String(),
-			"a duration above balancer_lag (" + s.Drain.BalancerLag.String() + ")"})
+			"at least " + least.String() + ", the time until no work arrives plus limits.longest_deadline"})
 	}
 	if s.Membership.Period*3 > s.Ownership.Lease {
 		problems = append(problems, Problem{name, "membership", "period", s.Membership.Period.String(),
