Add the stand-in for the upstreams of a data centre

The requirements bound what each upstream bears: load, cold starts, work after it was told to leave, runs of non-idempotent requests. The stand-in enforces slots, connections and cold starts, fails in the ways that the requirements name, and records per replica what it was made to bear.

--- /dev/null
+++ b/internal/standin/upstreamstandin/record.go
@@ -0,0 +1,120 @@
+package upstreamstandin
+
+import (
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// maxArrivals bounds the arrivals that are kept one by one.
+const maxArrivals = 1000
+
+// Run is one run of a non-idempotent request.
+type Run struct {
+	Key     string    `json:"key"`
+	Replica string    `json:"replica"`
+	Slip    string    `json:"slip"`
+	Attempt string    `json:"attempt"`
+	Time    time.Time `json:"time"`
+}
+
+// Arrival is a request that arrived at a replica that should get none.
+type Arrival struct {
+	Attempt string        `json:"attempt"`
+	Kind    upstream.Kind `json:"kind"`
+	Time    time.Time     `json:"time"`
+	SinceMS float64       `json:"since_ms"` // since the replica was told, or the data centre taken out
+}
+
+// Arrivals counts arrivals and keeps the first of them.
+type Arrivals struct {
+	Count  int64     `json:"count"`
+	LastMS float64   `json:"last_ms"` // the longest time after the signal
+	First  []Arrival `json:"first,omitempty"`
+}
+
+func (a *Arrivals) add(q upstream.Request, now, since time.Time) {
+	ms := milliseconds(now.Sub(since))
+	a.Count++
+	a.LastMS = max(a.LastMS, ms)
+	if len(a.First) < maxArrivals {
+		a.First = append(a.First, Arrival{Attempt: q.Attempt, Kind: q.Kind, Time: now, SinceMS: ms})
+	}
+}
+
+// ReplicaRecord is what one replica was made to bear.
+type ReplicaRecord struct {
+	Replica            string   `json:"replica"`
+	Group              string   `json:"group"`
+	Service            string   `json:"service"`
+	Slots              int      `json:"slots"`
+	Connections        int      `json:"connections"`
+	Requests           int64    `json:"requests"`
+	Served             int64    `json:"served"`
+	Shed               int64    `json:"shed"`
+	Queued             int64    `json:"queued"` // requests that found no free slot
+	LongestQueueMS     float64  `json:"longest_queue_ms"`
+	FallOvers          int      `json:"fall_overs"`
+	PeakOffered        int      `json:"peak_offered"` // running and queued at once
+	PeakWork           int      `json:"peak_work"`    // running at once
+	PeakOfferedCold    int      `json:"peak_offered_cold"`
+	PeakWorkCold       int      `json:"peak_work_cold"`
+	OverCapacityCold   int64    `json:"over_capacity_cold"` // requests above the capacity while cold
+	StartsCold         int64    `json:"starts_cold"`
+	PeakConnections    int      `json:"peak_connections"`
+	RefusedConnections int64    `json:"refused_connections"`
+	AfterLeave         Arrivals `json:"after_leave"`
+	AfterOut           Arrivals `json:"after_out"`
+	Runs               []Run    `json:"runs,omitempty"`
+}
+
+func newRecord(cfg Replica) ReplicaRecord {
+	return ReplicaRecord{
+		Replica: cfg.ID, Group: cfg.Group, Service: cfg.Service,
+		Slots: cfg.Slots, Connections: cfg.Connections,
+	}
+}
+
+// offered counts a request that is about to take a slot or join the queue.
+func (c *ReplicaRecord) offered(r *replica) {
+	n := r.running + len(r.queue) + 1
+	c.PeakOffered = max(c.PeakOffered, n)
+	if !r.cold() {
+		return
+	}
+	c.PeakOfferedCold = max(c.PeakOfferedCold, n)
+	if n > r.capacity() {
+		c.OverCapacityCold++
+	}
+}
+
+// started counts a request that has just taken a slot.
+func (c *ReplicaRecord) started(r *replica) {
+	c.PeakWork = max(c.PeakWork, r.running)
+	if r.cold() {
+		c.StartsCold++
+		c.PeakWorkCold = max(c.PeakWorkCold, r.running)
+	}
+}
+
+func (c *ReplicaRecord) waited(d time.Duration) {
+	c.LongestQueueMS = max(c.LongestQueueMS, milliseconds(d))
+}
+
+func (c *ReplicaRecord) ran(run Run) { c.Runs = append(c.Runs, run) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// arrive records a request on its arrival.
+func (r *replica) arrive(q upstream.Request, outSince time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.record.Requests++
+	if r.leave != LeaveNot {
+		r.record.AfterLeave.add(q, now, r.leftAt)
+	}
+	if !outSince.IsZero() {
+		r.record.AfterOut.add(q, now, outSince)
+	}
+}
