--- /dev/null
+++ b/internal/layout/layout.go
@@ -0,0 +1,207 @@
+// Package layout holds the data centres, services and replicas that Indus and
+// Abay run today (design section 1.5), as values from which trials make the
+// configuration document and the upstream stand-ins.
+package layout
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/configuration"
+	"github.com/marigoldlever/marigoldlever/contract"
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// Layout is the set-up of one organisation.
+type Layout struct {
+	Name        string
+	Region      string
+	DataCentres []string
+	BetweenDCs  time.Duration // one way, between data centres
+	ToCallers   time.Duration // one way
+	Groups      []Group
+	Units       []contract.Unit
+	Contracts   []contract.Contract
+}
+
+// Group is a data set whose services are alike.
+type Group struct {
+	Name        string
+	Services    int
+	Replicas    int // of each service, spread over the data centres
+	Slots       int // of each replica
+	Connections int // of each replica
+	ConnectCost time.Duration
+}
+
+// Replica is one replica with its place.
+type Replica struct {
+	configuration.Replica
+	Group       string
+	Service     string
+	Partition   upstream.HashRange
+	ConnectCost time.Duration
+}
+
+// Named returns the layout with the given name.
+func Named(name string) (Layout, error) {
+	for _, l := range []Layout{Indus(), Abay()} {
+		if l.Name == name {
+			return l, nil
+		}
+	}
+	return Layout{}, errors.Newf("no layout %q", name)
+}
+
+// Indus is the layout of Indus Groundwater Records. Its contracts prefer
+// coverage: officers must be able to act on complete answers.
+func Indus() Layout {
+	return Layout{
+		Name:        "indus",
+		Region:      "indus",
+		DataCentres: []string{"lahore-a", "hyderabad-a", "peshawar-a"},
+		BetweenDCs:  time.Millisecond,
+		ToCallers:   time.Millisecond,
+		Groups: []Group{
+			desk("licence-desk", 20), desk("depth-survey", 30),
+			single("owner-records", 5, 3, 100), single("tehsil-reports", 3, 3, 100),
+		},
+		Units: units(),
+		Contracts: []contract.Contract{
+			coverageFirst("licence-check", "licence-desk"),
+			coverageFirst("well-search", "licence-desk", "depth-survey"),
+			coverageFirst("permit-filing", "owner-records", "tehsil-reports"),
+		},
+	}
+}
+
+// Abay is the layout of Abay Scrap Weighbridge Franchise. Its gate contracts
+// prefer latency: a late answer leaves a truck on the scale. The yard totals
+// may be late but not incomplete.
+func Abay() Layout {
+	return Layout{
+		Name:        "abay",
+		Region:      "abay",
+		DataCentres: []string{"bole", "kality", "merkato", "akaki"},
+		BetweenDCs:  1500 * time.Microsecond,
+		ToCallers:   3 * time.Millisecond,
+		Groups: []Group{
+			desk("gate-desk", 20), desk("buyer-portal", 30),
+			single("finance-ledger", 4, 6, 50), single("fleet-log", 4, 6, 50),
+		},
+		Units: units(),
+		Contracts: []contract.Contract{
+			latencyFirst("gate-check", "gate-desk"),
+			latencyFirst("ticket-search", "gate-desk", "buyer-portal"),
+			coverageFirst("payout", "finance-ledger"),
+			coverageFirst("yard-totals", "finance-ledger", "fleet-log"),
+		},
+	}
+}
+
+// desk is a group of many services with few slots and costly connections.
+func desk(name string, services int) Group {
+	return Group{
+		Name: name, Services: services, Replicas: 2,
+		Slots: 2, Connections: 25, ConnectCost: 6 * time.Millisecond,
+	}
+}
+
+// single is a group of one service.
+func single(name string, replicas, slots, connections int) Group {
+	return Group{
+		Name: name, Services: 1, Replicas: replicas,
+		Slots: slots, Connections: connections, ConnectCost: time.Millisecond,
+	}
+}
+
+func units() []contract.Unit {
+	return []contract.Unit{
+		{Name: "ms", Dimension: contract.Time, Factor: "0.001"},
+		{Name: "percent", Dimension: contract.Share, Factor: "0.01"},
+	}
+}
+
+// coverageFirst is a contract for trials that waits for the whole answer. The
+// owners' figures replace these values.
+func coverageFirst(name string, groups ...string) contract.Contract {
+	return contract.Contract{
+		Name: name, Groups: groups,
+		AnswerTime: "2000 ms", MinimumCoverage: "90 percent", UpstreamLoad: "2 slot",
+		Prefer: contract.PreferCoverage,
+	}
+}
+
+// latencyFirst is a contract for trials that answers at its goal once the
+// minimum coverage is reached.
+func latencyFirst(name string, groups ...string) contract.Contract {
+	return contract.Contract{
+		Name: name, Groups: groups,
+		AnswerTime: "1000 ms", MinimumCoverage: "90 percent", UpstreamLoad: "2 slot",
+		Prefer: contract.PreferLatency, LatencyGoal: "170 ms",
+	}
+}
+
+// Replicas returns all replicas. The n-th has the port base+n on its address,
+// so that every process of a trial derives the same addresses.
+func (l Layout) Replicas(base netip.AddrPort) []Replica {
+	var replicas []Replica
+	for _, g := range l.Groups {
+		for s, partition := range upstream.Split(g.Services) {
+			for n := range g.Replicas {
+				place := l.DataCentres[(s+n)%len(l.DataCentres)]
+				port := base.Port() + uint16(len(replicas))
+				replicas = append(replicas, g.replica(s, n, place, netip.AddrPortFrom(base.Addr(), port), partition))
+			}
+		}
+	}
+	return replicas
+}
+
+func (g Group) replica(service, n int, dataCentre string, address netip.AddrPort, partition upstream.HashRange) Replica {
+	name := g.service(service)
+	return Replica{
+		Replica: configuration.Replica{
+			ID: fmt.Sprintf("%s-%d", name, n+1), DataCentre: dataCentre, Address: address.String(),
+			Slots: g.Slots, Connections: g.Connections,
+		},
+		Group: g.Name, Service: name, Partition: partition, ConnectCost: g.ConnectCost,
+	}
+}
+
+// service returns the name of the n-th service; a group's only service has the
+// name of the group.
+func (g Group) service(n int) string {
+	if g.Services == 1 {
+		return g.Name
+	}
+	return fmt.Sprintf("%s-%02d", g.Name, n+1)
+}
+
+// Document returns the configuration document with the addresses that Replicas
+// gives.
+func (l Layout) Document(base netip.AddrPort) configuration.Document {
+	doc := configuration.Document{Units: l.Units, Contracts: l.Contracts}
+	for _, name := range l.DataCentres {
+		doc.DataCentres = append(doc.DataCentres, configuration.DataCentre{Name: name, Region: l.Region})
+	}
+	for _, r := range l.Replicas(base) {
+		g := last(&doc.Groups, func(g configuration.Group) bool { return g.Name == r.Group })
+		g.Name = r.Group
+		s := last(&g.Services, func(s configuration.Service) bool { return s.Name == r.Service })
+		s.Name, s.Partition = r.Service, r.Partition
+		s.Replicas = append(s.Replicas, r.Replica)
+	}
+	return doc
+}
+
+// last returns the last element if it matches, or else a new one.
+func last[T any](list *[]T, matches func(T) bool) *T {
+	if n := len(*list); n == 0 || !matches((*list)[n-1]) {
+		*list = append(*list, *new(T))
+	}
+	return &(*list)[len(*list)-1]
+}
--- a/internal/standin/upstreamstandin/config.go
+++ b/internal/standin/upstreamstandin/config.go
@@ -53,9 +53,10 @@
 	ConnectCost time.Duration // time that the first request on a connection waits
 	Partition   upstream.HashRange
 	Work        Work
-	ColdSlots   int  // capacity just after a cold start; 0 means 1
-	ColdServes  int  // requests served until it is warm; 0 means 50
-	StartCold   bool // otherwise the first incarnation starts warm
+	ColdSlots   int    // capacity just after a cold start; 0 means 1
+	ColdServes  int    // requests served until it is warm; 0 means 50
+	StartCold   bool   // otherwise the first incarnation starts warm
+	Address     string // own listener's; empty lets ListenEach choose a port
 }
 
 func (r Replica) withDefaults() Replica {
--- a/internal/standin/upstreamstandin/connection.go
+++ b/internal/standin/upstreamstandin/connection.go
@@ -132,15 +132,20 @@
 	server  *http.Server
 }
 
-// ListenEach gives every replica its own listener on a free port of the IP
-// address ip, and returns the addresses by replica id. Call it before the
-// first request.
+// ListenEach gives every replica its own listener, on its Address or on a free
+// port of the IP address ip, and returns the addresses by replica id. Call it
+// before the first request.
 func (d *DataCentre) ListenEach(ip string) (map[string]string, error) {
 	addresses := make(map[string]string, len(d.ids))
 	for _, id := range d.ids {
 		r := d.replicas[id]
-		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		address := r.cfg.Address
+		if address == "" {
+			address = net.JoinHostPort(ip, "0")
+		}
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			d.Close()
 			return nil, errors.Wrapf(err, "replica %s", id)
 		}
 		r.mu.Lock()
