--- a/upstream/upstreamhttp/target.go
+++ b/upstream/upstreamhttp/target.go
@@ -12,6 +12,8 @@
 	// dialTimeout bounds a dial that outlives its request.
 	dialTimeout = 3 * time.Second
 	idleTimeout = 90 * time.Second
+	// maxHeaderBytes bounds the headers of a reply.
+	maxHeaderBytes = 64 << 10
 )
 
 // target is one upstream address with its own connections. Each address has
@@ -45,6 +47,8 @@
 		MaxConnsPerHost:     max(connections, 1),
 		MaxIdleConnsPerHost: max(connections, 1),
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return &lane{client: client, transport: transport}
