platformstandin: bound the states of the host list

Each registration stored a copy of the whole list, so hosts that register periodically would fill the memory of a long trial. An unchanged entry now makes no new state, and states replaced more than 10 minutes ago are dropped.

Test: go test -race of the package passes.

--- a/internal/standin/platformstandin/hosts.go
+++ b/internal/standin/platformstandin/hosts.go
@@ -20,6 +20,9 @@
 	hosts []platform.Host // sorted by ID, never changed
 }
 
+// maxLag bounds how long old states of the list are kept.
+const maxLag = 10 * time.Minute
+
 // newest returns the list without lag.
 func (l *hostLog) newest() []platform.Host {
 	if len(l.states) == 0 {
@@ -38,14 +41,30 @@
 	return nil
 }
 
-// replace stores the entry for id, or removes it if h is nil.
+// replace stores the entry for id, or removes it if h is nil. An entry that
+// does not change makes no new state, since hosts may register again and again.
 func (l *hostLog) replace(now time.Time, id string, h *platform.Host) {
-	hosts := slices.DeleteFunc(slices.Clone(l.newest()), func(o platform.Host) bool { return o.ID == id })
+	old := l.newest()
+	i := slices.IndexFunc(old, func(o platform.Host) bool { return o.ID == id })
+	if (h == nil && i < 0) || (h != nil && i >= 0 && old[i] == *h) {
+		return
+	}
+	hosts := slices.DeleteFunc(slices.Clone(old), func(o platform.Host) bool { return o.ID == id })
 	if h != nil {
 		hosts = append(hosts, *h)
 	}
 	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
 	l.states = append(l.states, hostState{at: now, hosts: hosts})
+	l.prune(now)
+}
+
+// prune drops the states that were replaced more than maxLag ago.
+func (l *hostLog) prune(now time.Time) {
+	n := 0
+	for n+1 < len(l.states) && now.Sub(l.states[n+1].at) > maxLag {
+		n++
+	}
+	l.states = slices.Delete(l.states, 0, n)
 }
 
 // SetHost adds or replaces an entry, as the platform itself does.
