upstreamstandin: count requests that queue for long

A caller that cancels a request and sends the next one at once overlaps with itself until the replica has noticed the cancellation, so peak_offered can be above the slots without an overload. queued_long counts the requests that waited more than 5 ms for a slot; requests that give up in the queue now count into it and into longest_queue_ms.

Test: go test -race of the package passes.

--- a/internal/standin/upstreamstandin/record.go
+++ b/internal/standin/upstreamstandin/record.go
@@ -6,8 +6,14 @@
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
-// maxArrivals bounds the arrivals that are kept one by one.
-const maxArrivals = 1000
+const (
+	// maxArrivals bounds the arrivals that are kept one by one.
+	maxArrivals = 1000
+	// overlapGrace is the wait for a slot that is not counted as overload. A
+	// caller that cancels a request and sends the next one at once overlaps
+	// with itself until the replica has noticed the cancellation.
+	overlapGrace = 5 * time.Millisecond
+)
 
 // Run is one run of a non-idempotent request.
 type Run struct {
@@ -52,7 +58,8 @@
 	Requests           int64    `json:"requests"`
 	Served             int64    `json:"served"`
 	Shed               int64    `json:"shed"`
-	Queued             int64    `json:"queued"` // requests that found no free slot
+	Queued             int64    `json:"queued"`      // requests that found no free slot
+	QueuedLong         int64    `json:"queued_long"` // those that waited more than 5 ms
 	LongestQueueMS     float64  `json:"longest_queue_ms"`
 	FallOvers          int      `json:"fall_overs"`
 	PeakOffered        int      `json:"peak_offered"` // running and queued at once
@@ -97,7 +104,11 @@
 	}
 }
 
+// waited records how long a request waited for its slot, or until it gave up.
 func (c *ReplicaRecord) waited(d time.Duration) {
+	if d > overlapGrace {
+		c.QueuedLong++
+	}
 	c.LongestQueueMS = max(c.LongestQueueMS, milliseconds(d))
 }
 
--- a/internal/standin/upstreamstandin/standin_test.go
+++ b/internal/standin/upstreamstandin/standin_test.go
@@ -78,7 +78,7 @@
 			t.Errorf("6 requests on 2 slots took %v, want %v", got, 3*workTime)
 		}
 		record := d.Record().Replicas[0]
-		if record.PeakWork != 2 || record.PeakOffered != 6 || record.Queued != 4 || record.LongestQueueMS != 20 {
+		if record.PeakWork != 2 || record.PeakOffered != 6 || record.Queued != 4 || record.QueuedLong != 4 || record.LongestQueueMS != 20 {
 			t.Errorf("record %+v", record)
 		}
 		errs := burst(t, c, 2+2*queuePerSlot+1)
--- a/internal/standin/upstreamstandin/work.go
+++ b/internal/standin/upstreamstandin/work.go
@@ -170,14 +170,11 @@
 
 // await waits for the slot. It returns false if the request ends before.
 func (r *replica) await(ctx context.Context, life, place chan struct{}, q upstream.Request, deadline time.Time) (outcome, bool) {
-	since := time.Now()
+	defer r.waitedSince(time.Now())
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-place:
-		r.mu.Lock()
-		r.record.waited(time.Since(since))
-		r.mu.Unlock()
 		return outcome{}, true
 	case <-life:
 		return outcome{fate: lost}, false
@@ -190,6 +187,12 @@
 	}
 }
 
+func (r *replica) waitedSince(start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.waited(time.Since(start))
+}
+
 func (r *replica) late(attempt string) outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
