--- /dev/null
+++ b/internal/standin/platformstandin/claims_test.go
@@ -0,0 +1,99 @@
+package platformstandin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/platform"
+)
+
+// claim is what a Put told its caller.
+type claim struct {
+	object platform.Object
+	err    error
+}
+
+// Guards against a client that claims what the history disproves: an accepted
+// write that is missing, a refused one that is present, or a version written
+// twice.
+func TestClaimsMatchHistory(t *testing.T) {
+	const writers, puts = 6, 60
+	eachAccess(t, func(t *testing.T, p *Platform, from func(string) access) {
+		p.SetFaults(Faults{LoseShare: 0.2})
+		claims := make([]map[string]claim, writers)
+		var wg sync.WaitGroup
+		for w := range writers {
+			store := from(fmt.Sprint("dc", w%2))
+			rng := rand.New(rand.NewPCG(7, uint64(w)))
+			wg.Go(func() { claims[w] = writeAll(t, store, rng, w, puts) })
+		}
+		rng := rand.New(rand.NewPCG(7, 99))
+		for range 200 {
+			p.ChangeFaults(func(f *Faults) {
+				f.Outage = rng.IntN(8) == 0
+				f.Cut = nil
+				if rng.IntN(4) == 0 {
+					f.Cut = []string{fmt.Sprint("dc", rng.IntN(2))}
+				}
+			})
+			from("observer").Get(t.Context(), "a")
+		}
+		p.ChangeFaults(func(f *Faults) { f.Outage, f.Cut = false, nil })
+		wg.Wait()
+		checkClaims(t, p.HistoryOf("a"), claims)
+	})
+}
+
+func writeAll(t *testing.T, store access, rng *rand.Rand, writer, puts int) map[string]claim {
+	claims := make(map[string]claim)
+	base := uint64(0)
+	for n := range puts {
+		if o, err := store.Get(t.Context(), "a"); err == nil && rng.IntN(4) > 0 {
+			base = o.Version
+		}
+		value := fmt.Sprintf("%d-%d", writer, n)
+		o, err := store.Put(t.Context(), "a", base, []byte(value))
+		claims[value] = claim{o, err}
+	}
+	return claims
+}
+
+func checkClaims(t *testing.T, history []Write, claims []map[string]claim) {
+	t.Helper()
+	applied := make(map[string]uint64)
+	for i, w := range history {
+		if w.Version != uint64(i+1) {
+			t.Fatalf("write %d has version %d", i, w.Version)
+		}
+		applied[string(w.Value)] = w.Version
+	}
+	kinds := make(map[error]int)
+	for _, byValue := range claims {
+		for value, c := range byValue {
+			version, present := applied[value]
+			switch {
+			case c.err == nil:
+				kinds[nil]++
+				if c.object.Version != version {
+					t.Errorf("%s: accepted as version %d, history has %d", value, c.object.Version, version)
+				}
+			case errors.Is(c.err, platform.ErrUnknownOutcome):
+				kinds[platform.ErrUnknownOutcome]++
+			case errors.IsAny(c.err, platform.ErrConflict, platform.ErrUnavailable):
+				kinds[platform.ErrConflict]++
+				if present {
+					t.Errorf("%s: refused by %v, but applied as version %d", value, c.err, version)
+				}
+			default:
+				t.Errorf("%s: unexpected error %v", value, c.err)
+			}
+		}
+	}
+	if len(kinds) != 3 {
+		t.Errorf("the run shows only the outcomes %v", kinds)
+	}
+}
