Divide upstream slots among hosts by table and lease

Cause: a replica's limit must hold over several owners without a message per request, through pauses, crashes, outages of the platform and lost answers.

Change: package ownership. Owners and Shares divide a replica's slots by rendezvous hashing. Keeper maintains the table: coalesced joins and removals by the first live host, releases by the host itself, reading back after lost answers.

Hosts that missed a few epochs rebuild the tables in between; only an older gap counts as skipped. Epochs need not be consecutive numbers. - Gained slots are the smallest share under all tables within the wait, so slots that are lost and gained again wait too. - The wait is (lease + longest deadline + 250 ms of transit) plus 3 %, since clocks that run 1 % off in opposite directions shorten it by 2 % against another host's lease. - A lower limit never gives an owner more than its full share: the remainder that goes to rank 0 would otherwise let hosts that know different limits exceed the slots together (9 slots, limit 8: 4 + 3 + 3). - Outage mode starts from a round of questions sent at least half a lease after the last proof, so that rights do not lapse when an outage begins, and lasts for the lease from the start of the round. - The old incarnation's shares end by its own release or after the wait, never because the new process could bind the old address.

--- /dev/null
+++ b/ownership/table_test.go
@@ -0,0 +1,100 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawTable(t *rapid.T) Table {
+	ids := rapid.SliceOfNDistinct(rapid.IntRange(0, 40), 0, 12, rapid.ID).Draw(t, "ids")
+	slices.Sort(ids)
+	table := Table{DataCentre: "bole", Epoch: 7}
+	for _, id := range ids {
+		table.Members = append(table.Members, Member{ID: fmt.Sprintf("h%02d", id), Incarnation: "1"})
+	}
+	return table
+}
+
+func byMember(shares []Share) map[string]int {
+	slots := make(map[string]int)
+	for _, s := range shares {
+		slots[s.Member.ID] = s.Slots
+	}
+	return slots
+}
+
+// Guards against a division that exceeds the replica's limits, leaves slots
+// unused, or lets hosts that know different limits exceed the slots together.
+func TestDivision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := drawTable(t)
+		slots := rapid.IntRange(0, 12).Draw(t, "slots")
+		connections := slots + rapid.IntRange(0, 30).Draw(t, "spare connections")
+		full := Owners(table, "r", slots, connections)
+		if len(full) > min(MaxOwners, slots, len(table.Members)) {
+			t.Fatalf("%d owners", len(full))
+		}
+		sums := [2]int{}
+		for _, s := range full {
+			sums[0] += s.Slots
+			sums[1] += s.Connections
+		}
+		if len(full) > 0 && sums != [2]int{slots, connections} {
+			t.Fatalf("sums %v of %d slots, %d connections", sums, slots, connections)
+		}
+		limit := rapid.IntRange(0, slots).Draw(t, "limit")
+		low, sum := Shares(table, "r", slots, connections, limit), 0
+		for rank, s := range low {
+			sum += s.Slots
+			if s.Slots > full[rank].Slots || limit == 1 && (s.Slots == 1) != (rank == 0) {
+				t.Fatalf("limit %d: rank %d gets %d of %d", limit, rank, s.Slots, full[rank].Slots)
+			}
+		}
+		if sum > limit {
+			t.Fatalf("limit %d: sum %d", limit, sum)
+		}
+	})
+}
+
+// Guards the premise of Holder's early use of released slots: removing a member
+// lowers nobody else's share.
+func TestRemovalLowersNoShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := drawTable(t)
+		if len(table.Members) == 0 {
+			return
+		}
+		slots := rapid.IntRange(1, 12).Draw(t, "slots")
+		limit := rapid.IntRange(1, slots).Draw(t, "limit")
+		gone := table.Members[rapid.IntRange(0, len(table.Members)-1).Draw(t, "gone")]
+		after := byMember(Shares(table.apply(Change{Base: 7, Released: []Member{gone}}), "r", slots, slots, limit))
+		for id, n := range byMember(Shares(table, "r", slots, slots, limit)) {
+			if id != gone.ID && after[id] < n {
+				t.Fatalf("%s had %d, has %d after %s left", id, n, after[id], gone.ID)
+			}
+		}
+	})
+}
+
+// Guards against a chain of changes that does not lead back to the older table,
+// which would make a holder believe it had held other slots.
+func TestChangesAreReversible(t *testing.T) {
+	first := Table{DataCentre: "bole", Epoch: 3, Members: []Member{{ID: "a", Incarnation: "1"}, {ID: "b", Incarnation: "1"}}}
+	second := first.apply(Change{Base: 3, Joined: []Member{{ID: "a", Incarnation: "2"}}, Removed: first.Members[:1]})
+	second.Epoch = 5
+	third := second.apply(Change{Base: 5, Joined: []Member{{ID: "c", Incarnation: "1"}}, Released: first.Members[1:]})
+	third.Epoch = 6
+	chain, complete := since(third, 3)
+	if !complete || len(chain) != 2 || !slices.Equal(chain[0].Members, second.Members) || chain[0].Epoch != 5 {
+		t.Errorf("chain %v, complete %v", chain, complete)
+	}
+	if back, _ := chain[0].before(); !slices.Equal(back.Members, first.Members) {
+		t.Errorf("before: %v", back.Members)
+	}
+	if _, complete := since(third, 4); complete {
+		t.Error("a chain from an epoch that was none")
+	}
+}
