--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -31,6 +31,9 @@
 	m.hosts = hosts
 	m.mu.Unlock()
 	m.daemon.configuration.setMembers(m.liveHere())
+	for _, h := range m.others() {
+		m.daemon.tables.heard(h.dataCentre, 1)
+	}
 }
 
 func (m *memberRunner) entries() []platform.Host {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -77,3 +77,21 @@
 func (d *Daemon) handleStatus(context.Context, peer.Request) (any, error) {
 	return d.hostStatus(), nil
 }
+
+// Owning reports whether this host may use every slot that its table gives it.
+func (d *Daemon) Owning() bool {
+	active := d.directory.active()
+	if active == nil {
+		return false
+	}
+	for _, g := range active.Document.Groups {
+		for _, s := range g.Services {
+			for _, r := range s.Replicas {
+				if _, owned := d.directory.place(r.ID); owned && d.directory.allowed(time.Now(), r.ID) == 0 {
+					return false
+				}
+			}
+		}
+	}
+	return d.directory.hasTable()
+}
