--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/once"
 )
 
 func queryCommand() command {
@@ -98,7 +99,7 @@
 	}
 	e.Contract, e.Service, e.Request = args[0], args[1], request
 	if e.Key == "" {
-		e.Key = NewKey(time.Now())
+		e.Key = once.NewKey(time.Now(), uuid.NewString())
 		if e.SubmissionNumber == 0 {
 			e.SubmissionNumber = 1
 		}
@@ -119,11 +120,6 @@
 	return nil
 }
 
-// NewKey returns a new idempotency key that carries the time of its making.
-func NewKey(now time.Time) string {
-	return fmt.Sprintf("%d-%s", now.UnixMilli(), uuid.NewString())
-}
-
 // requestBody returns the JSON given as text or, after '@', as a file name.
 func requestBody(args []string) (json.RawMessage, error) {
 	if len(args) == 0 {
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -421,8 +421,3 @@
 		Replica: replica, Incarnation: r.Incarnation, SentAt: sentAt, Draining: r.Load.Draining || isDraining(err),
 	})
 }
-
-// hasTable reports whether this data centre's table is known.
-func (d *directory) hasTable() bool {
-	return d.state.Load().tables[d.dataCentre].Epoch > 0
-}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -78,7 +78,8 @@
 	return d.hostStatus(), nil
 }
 
-// Owning reports whether this host may use every slot that its table gives it.
+// Owning reports whether this host may use every slot that its table gives it,
+// and knows the owners of every upstream.
 func (d *Daemon) Owning() bool {
 	active := d.directory.active()
 	if active == nil {
@@ -87,11 +88,16 @@
 	for _, g := range active.Document.Groups {
 		for _, s := range g.Services {
 			for _, r := range s.Replicas {
-				if _, owned := d.directory.place(r.ID); owned && d.directory.allowed(time.Now(), r.ID) == 0 {
+				if len(d.directory.allOwners(r.ID)) == 0 || d.lacksShare(r.ID) {
 					return false
 				}
 			}
 		}
 	}
-	return d.directory.hasTable()
+	return true
+}
+
+func (d *Daemon) lacksShare(replica string) bool {
+	_, owned := d.directory.place(replica)
+	return owned && d.directory.allowed(time.Now(), replica) == 0
 }
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -31,7 +31,7 @@
 	firstSnapshot = 7
 	// readyPoll is the time between two looks at whether hosts are ready.
 	readyPoll = 50 * time.Millisecond
-	anyPort = loopback + ":0"
+	anyPort   = loopback + ":0"
 )
 
 // Options describe a trial.
--- a/internal/trial/cluster_test.go
+++ b/internal/trial/cluster_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/marigoldlever/marigoldlever/internal/api"
-	"github.com/marigoldlever/marigoldlever/internal/cli"
 	"github.com/marigoldlever/marigoldlever/internal/layout"
+	"github.com/marigoldlever/marigoldlever/once"
 )
 
 // startTimeout is generous, since the race detector and a busy machine slow the
@@ -61,7 +63,7 @@
 		t.Errorf("snapshot %d coverage %+v", answer.Snapshot, answer.Coverage)
 	}
 	result, err := client.Execute(ctx, api.ExecuteRequest{
-		Contract: name, Service: answer.Parts[0].Service, Request: []byte(`{"pay":1}`), Key: cli.NewKey(time.Now()), SubmissionNumber: 1,
+		Contract: name, Service: answer.Parts[0].Service, Request: []byte(`{"pay":1}`), Key: once.NewKey(time.Now(), uuid.NewString()), SubmissionNumber: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/trial/scenario.go
@@ -0,0 +1,169 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/internal/standin/platformstandin"
+	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
+)
+
+// Stragglers of the straggler scenario: 1 in 100 sub-requests takes 20 times as
+// long.
+const (
+	stragglerShare  = 0.01
+	stragglerFactor = 20
+)
+
+// Event is something that a scenario does at a time since its start.
+type Event struct {
+	At    time.Duration
+	Label string
+	Do    func(ctx context.Context, c *Cluster) error
+}
+
+// Scenario is a sequence of events during a load.
+type Scenario struct {
+	Name    string
+	Summary string
+	events  func(l time.Duration) []Event
+}
+
+// Events returns the events for a load of the given length.
+func (s Scenario) Events(length time.Duration) []Event { return s.events(length) }
+
+// Scenarios returns every scenario.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{"steady", "no faults", func(time.Duration) []Event { return nil }},
+		{"stragglers", "1 in 100 sub-requests is 20 times slower", func(time.Duration) []Event {
+			return []Event{{0, "stragglers", stragglers}}
+		}},
+		{"replica-loss", "the first replica of a service crashes for a third of the time", func(l time.Duration) []Event {
+			return []Event{{l / 3, "crash", crashReplica}, {2 * l / 3, "restart", restartReplica}}
+		}},
+		{"cold-start", "all upstreams of a data centre restart cold", func(l time.Duration) []Event {
+			return []Event{{l / 3, "cold", restartCentre}}
+		}},
+		{"drain-data-centre", "operators take a data centre out and bring it back", func(l time.Duration) []Event {
+			return []Event{{l / 3, "out", centreOut}, {2 * l / 3, "in", centreIn}}
+		}},
+		{"platform-outage", "the platform answers nothing for a third of the time", func(l time.Duration) []Event {
+			return []Event{{l / 3, "outage", outage(true)}, {2 * l / 3, "back", outage(false)}}
+		}},
+		{"host-kill", "a daemon is killed and started again", func(l time.Duration) []Event {
+			return []Event{{l / 3, "kill", killHost}, {2 * l / 3, "start", startHost}}
+		}},
+	}
+}
+
+// ScenarioNamed returns the scenario with the name.
+func ScenarioNamed(name string) (Scenario, error) {
+	all := Scenarios()
+	i := slices.IndexFunc(all, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return Scenario{}, errors.Newf("no scenario %q", name)
+	}
+	return all[i], nil
+}
+
+// Play runs the events until the last one is done or ctx ends.
+func (c *Cluster) Play(ctx context.Context, events []Event) error {
+	started := time.Now()
+	for _, e := range events {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(started.Add(e.At))):
+		}
+		if err := e.Do(ctx, c); err != nil {
+			return errors.Wrapf(err, "event %s", e.Label)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) firstCentre() (string, *upstreamstandin.DataCentre) {
+	name := c.Options.Layout.DataCentres[0]
+	return name, c.Centres[name]
+}
+
+func stragglers(_ context.Context, c *Cluster) error {
+	for _, centre := range c.Centres {
+		f := upstreamstandin.Faults{StragglerShare: stragglerShare, StragglerFactor: stragglerFactor}
+		if err := centre.SetFaults("*", f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func firstReplica(centre *upstreamstandin.DataCentre) upstreamstandin.Selector {
+	return upstreamstandin.Selector(centre.Replicas()[0])
+}
+
+func crashReplica(_ context.Context, c *Cluster) error {
+	_, centre := c.firstCentre()
+	return centre.Crash(firstReplica(centre))
+}
+
+func restartReplica(_ context.Context, c *Cluster) error {
+	_, centre := c.firstCentre()
+	return centre.Restart(firstReplica(centre))
+}
+
+func restartCentre(_ context.Context, c *Cluster) error {
+	_, centre := c.firstCentre()
+	return centre.Restart("*")
+}
+
+func centreOut(ctx context.Context, c *Cluster) error {
+	name, centre := c.firstCentre()
+	if err := c.SetOut(ctx, name, true); err != nil {
+		return err
+	}
+	centre.SetOut(true)
+	return nil
+}
+
+func centreIn(ctx context.Context, c *Cluster) error {
+	name, centre := c.firstCentre()
+	centre.SetOut(false)
+	return c.SetOut(ctx, name, false)
+}
+
+// SetOut patches a data centre out of service, or back in.
+func (c *Cluster) SetOut(ctx context.Context, name string, out bool) error {
+	client := api.NewClient(c.Hosts[len(c.Hosts)-1].Settings.Host.CallerAddress, 1)
+	defer client.Close()
+	current, err := client.Configuration(ctx, 0)
+	if err != nil {
+		return err
+	}
+	i := slices.Index(c.Options.Layout.DataCentres, name)
+	patch := fmt.Sprintf(`[{"op":"replace","path":"/data_centres/%d/out","value":%t}]`, i, out)
+	_, err = client.Patch(ctx, api.PatchRequest{ID: uuid.NewString(), Base: current.Number, Type: "json-patch", Patch: []byte(patch)})
+	return err
+}
+
+func outage(on bool) func(context.Context, *Cluster) error {
+	return func(_ context.Context, c *Cluster) error {
+		c.Platform.ChangeFaults(func(f *platformstandin.Faults) { f.Outage = on })
+		return nil
+	}
+}
+
+func killHost(_ context.Context, c *Cluster) error {
+	c.Hosts[0].Kill()
+	return nil
+}
+
+func startHost(_ context.Context, c *Cluster) error {
+	return c.Hosts[0].Start()
+}
