platformstandin: let a write take effect after its caller gave up

A write whose caller timed out was dropped when it was still delayed or held. A real platform may apply it later, after the caller has already read the object back. The fault late_writes lets it go on.

Test: 10 runs of the package's tests with -race pass, in process and over HTTP.

--- a/internal/standin/platformstandin/faults.go
+++ b/internal/standin/platformstandin/faults.go
@@ -26,6 +26,9 @@
 	LoseNext int `json:"lose_next,omitempty"`
 	// LoseShare is the share of accepted writes whose answers are lost.
 	LoseShare float64 `json:"lose_share,omitempty"`
+	// LateWrites lets a write of an object take effect although its caller gave
+	// up while it was delayed or held.
+	LateWrites bool `json:"late_writes,omitempty"`
 	// LosePrefix limits lost answers to objects with this prefix.
 	LosePrefix string `json:"lose_prefix,omitempty"`
 	// HostListLagMS is how far the host list lags, in milliseconds.
--- a/internal/standin/platformstandin/platform.go
+++ b/internal/standin/platformstandin/platform.go
@@ -176,7 +176,30 @@
 	}
 }
 
+// put makes a conditional update. With Faults.LateWrites it goes on when the
+// caller gives up, so that the change may take effect after the call returned.
 func (p *Platform) put(ctx context.Context, dataCentre, name string, base uint64, value []byte) (platform.Object, error) {
+	if !p.Faults().LateWrites {
+		return p.update(ctx, dataCentre, name, base, value)
+	}
+	type result struct {
+		object platform.Object
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		o, err := p.update(context.WithoutCancel(ctx), dataCentre, name, base, value)
+		done <- result{o, err}
+	}()
+	select {
+	case r := <-done:
+		return r.object, r.err
+	case <-ctx.Done():
+		return platform.Object{}, errCut
+	}
+}
+
+func (p *Platform) update(ctx context.Context, dataCentre, name string, base uint64, value []byte) (platform.Object, error) {
 	from := origin{dataCentre: dataCentre, write: true}
 	if err := p.enter(ctx, from); err != nil {
 		return platform.Object{}, err
