upstreamstandin: cut all requests of an incarnation at its end

A request that had just got its slot at a restart could go on in the new incarnation and count as its load. Each request now belongs to the incarnation in which it arrived.

The end-to-end part of the new test also passes on the code before, where the fault needs a restart between two steps of one request; the last part of the test makes that order directly.

--- a/internal/standin/upstreamstandin/http.go
+++ b/internal/standin/upstreamstandin/http.go
@@ -145,7 +145,7 @@
 }
 
 func (d *DataCentre) serveHealth(w http.ResponseWriter, req *http.Request, r *replica) {
-	if !admit(req, r) || !r.ready(req.Context()) {
+	if !admit(req, r) || !r.ready(req.Context(), r.current()) {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, r.health())
--- a/internal/standin/upstreamstandin/record.go
+++ b/internal/standin/upstreamstandin/record.go
@@ -116,8 +116,9 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// arrive records a request on its arrival.
-func (r *replica) arrive(q upstream.Request, outSince time.Time) {
+// arrive records a request on its arrival and returns the incarnation to which
+// it belongs.
+func (r *replica) arrive(q upstream.Request, outSince time.Time) (life chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -128,4 +129,5 @@
 	if !outSince.IsZero() {
 		r.record.AfterOut.add(q, now, outSince)
 	}
+	return r.life
 }
--- a/internal/standin/upstreamstandin/replica.go
+++ b/internal/standin/upstreamstandin/replica.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// current returns the incarnation.
+func (r *replica) current() chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.life
+}
+
 // chill makes the replica cold.
 func (r *replica) chill() { r.served, r.strain = 0, 0 }
 
--- a/internal/standin/upstreamstandin/standin_test.go
+++ b/internal/standin/upstreamstandin/standin_test.go
@@ -238,6 +238,41 @@
 	})
 }
 
+// Guards against requests that outlive the incarnation in which they arrived.
+func TestRestartCutsRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newCentre(t, nil)
+		c := NewDirect(d)
+		d.Freeze("r1")
+		const requests = 5
+		done := make(chan []error)
+		go func() { done <- burst(t, c, requests) }()
+		synctest.Wait()
+		d.Restart("r1")
+		if errs := <-done; count(errs, upstream.ErrBroken) != requests {
+			t.Errorf("frozen at the restart: %v", errs)
+		}
+		go func() { done <- burst(t, c, 2) }()
+		synctest.Wait()
+		d.Restart("r1")
+		if errs := <-done; count(errs, upstream.ErrBroken) != 2 {
+			t.Errorf("at work and queued at the restart: %v", errs)
+		}
+		reply, err := c.Do(t.Context(), "r1", read("b"))
+		if err != nil || reply.Load.InFlight != 1 {
+			t.Errorf("after the restart: %+v, %v", reply, err)
+		}
+		r, q := d.replicas["r1"], read("c")
+		q.Kind = upstream.Execute
+		life := r.arrive(q, time.Time{})
+		r.enter(life, q.Attempt)
+		d.Restart("r1")
+		if _, _, o := r.begun(life, q); o.fate != lost || len(d.Record().Runs()) != 0 {
+			t.Errorf("a request that got its slot before the restart ran after it: %+v", o)
+		}
+	})
+}
+
 // Guards against load reports that follow the truth while they should lag or
 // mislead.
 func TestReports(t *testing.T) {
--- a/internal/standin/upstreamstandin/work.go
+++ b/internal/standin/upstreamstandin/work.go
@@ -49,14 +49,14 @@
 // do handles one request from its arrival to its reply.
 func (r *replica) do(ctx context.Context, q upstream.Request, outSince time.Time) outcome {
 	deadline := time.Now().Add(q.Deadline)
-	r.arrive(q, outSince)
-	if !r.ready(ctx) {
+	life := r.arrive(q, outSince)
+	if !r.ready(ctx, life) {
 		return outcome{fate: lost}
 	}
 	if o, refused := r.refuse(q); refused {
 		return o
 	}
-	life, place, o := r.enter(q.Attempt)
+	place, o := r.enter(life, q.Attempt)
 	if place == nil {
 		return o
 	}
@@ -71,13 +71,13 @@
 }
 
 // ready waits while the replica is frozen. It returns false if the request is
-// cut off.
-func (r *replica) ready(ctx context.Context) bool {
+// cut off, as all requests of an incarnation are at its end.
+func (r *replica) ready(ctx context.Context, life chan struct{}) bool {
 	for {
 		r.mu.Lock()
-		frozen, life, crashed := r.frozen, r.life, r.crashed
+		frozen, ended := r.frozen, r.ended(life)
 		r.mu.Unlock()
-		if crashed {
+		if ended {
 			return false
 		}
 		if frozen == nil {
@@ -93,6 +93,9 @@
 	}
 }
 
+// ended reports whether the incarnation is over. The caller holds the lock.
+func (r *replica) ended(life chan struct{}) bool { return r.crashed || r.life != life }
+
 // refuse checks what a replica refuses before it takes a slot.
 func (r *replica) refuse(q upstream.Request) (outcome, bool) {
 	r.mu.Lock()
@@ -127,29 +130,29 @@
 
 // enter takes a slot, or a place in the queue, whose channel is closed when
 // the slot is granted. A nil channel means that the request is shed.
-func (r *replica) enter(attempt string) (life, place chan struct{}, o outcome) {
+func (r *replica) enter(life chan struct{}, attempt string) (place chan struct{}, o outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	if r.crashed {
-		return nil, nil, outcome{fate: lost}
+	if r.ended(life) {
+		return nil, outcome{fate: lost}
 	}
 	r.record.offered(r)
 	if r.fallen(now) && r.running > 0 {
-		return nil, nil, r.shed(now, attempt)
+		return nil, r.shed(now, attempt)
 	}
 	place = make(chan struct{})
 	if r.running < r.capacity() {
 		r.grant(place)
-		return r.life, place, outcome{}
+		return place, outcome{}
 	}
 	if r.overloaded() {
 		r.fallOver(now)
-		return nil, nil, r.shed(now, attempt)
+		return nil, r.shed(now, attempt)
 	}
 	r.queue = append(r.queue, place)
 	r.record.Queued++
-	return r.life, place, outcome{}
+	return place, outcome{}
 }
 
 // overloaded counts a request above the capacity and reports whether the
@@ -203,8 +206,8 @@
 func (r *replica) exit(life, place chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.life != life || r.crashed {
-		return // the incarnation ended and its slots with it
+	if r.ended(life) {
+		return // its slots ended with it
 	}
 	if i := slices.Index(r.queue, place); i >= 0 {
 		r.queue = slices.Delete(r.queue, i, i+1)
@@ -220,11 +223,11 @@
 
 // run does the work of a request that has a slot.
 func (r *replica) run(ctx context.Context, life chan struct{}, q upstream.Request, deadline time.Time) (outcome, upstream.Reply) {
-	duration, reply, ok := r.begun(q)
 	done := make(chan struct{}) // never queued, so exit frees a slot
 	defer r.exit(life, done)
-	if !ok {
-		return r.gone410(q.Attempt), upstream.Reply{}
+	duration, reply, o := r.begun(life, q)
+	if o.status != http.StatusOK {
+		return o, upstream.Reply{}
 	}
 	timer := time.NewTimer(min(duration, time.Until(deadline)))
 	defer timer.Stop()
@@ -235,7 +238,7 @@
 	case <-ctx.Done():
 		return outcome{fate: lost}, upstream.Reply{}
 	}
-	if !r.ready(ctx) {
+	if !r.ready(ctx, life) {
 		return outcome{fate: lost}, upstream.Reply{}
 	}
 	if !time.Now().Before(deadline) {
@@ -244,22 +247,20 @@
 	return outcome{status: http.StatusOK}, r.complete(reply)
 }
 
-func (r *replica) gone410(attempt string) outcome {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.refusal(time.Now(), http.StatusGone, "moved", attempt)
-}
-
 // begun draws the work time and makes the content of the reply, which shows
-// the partition and snapshot as they are now. A non-idempotent request takes
-// effect here, so a request that is cut off later has run.
-func (r *replica) begun(q upstream.Request) (time.Duration, upstream.Reply, bool) {
+// the partition and snapshot as they are now; an outcome other than 200 ends
+// the request. A non-idempotent request takes effect here, so a request that
+// is cut off later has run.
+func (r *replica) begun(life chan struct{}, q upstream.Request) (time.Duration, upstream.Reply, outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	if r.ended(life) {
+		return 0, upstream.Reply{}, outcome{fate: lost}
+	}
 	part, ok := r.cover(q.Partition)
 	if !ok {
-		return 0, upstream.Reply{}, false
+		return 0, upstream.Reply{}, r.refusal(now, http.StatusGone, "moved", q.Attempt)
 	}
 	factor := r.faults.workFactor(r.rng)
 	if r.fallen(now) {
@@ -273,7 +274,7 @@
 		reply.Snapshot = r.held[len(r.held)-1]
 	}
 	reply.Records = r.content(now, q, reply)
-	return duration, reply, true
+	return duration, reply, outcome{status: http.StatusOK}
 }
 
 func (r *replica) content(now time.Time, q upstream.Request, reply upstream.Reply) json.RawMessage {
