--- a/internal/layout/layout.go
+++ b/internal/layout/layout.go
@@ -69,11 +69,17 @@
 			desk("licence-desk", 20), desk("depth-survey", 30),
 			single("owner-records", 5, 3, 100), single("tehsil-reports", 3, 3, 100),
 		},
-		Units: units(),
+		// Units of the old well registers: 1 vipal is 2/5 second, 1 anna a
+		// sixteenth, and a charsa is what one bullock team lifts at a time.
+		Units: []contract.Unit{
+			{Name: "vipal", Dimension: contract.Time, Factor: "2/5"},
+			{Name: "anna", Dimension: contract.Share, Factor: "1/16"},
+			{Name: "charsa", Dimension: contract.Load, Factor: "1"},
+		},
 		Contracts: []contract.Contract{
-			coverageFirst("licence-check", "licence-desk"),
-			coverageFirst("well-search", "licence-desk", "depth-survey"),
-			coverageFirst("permit-filing", "owner-records", "tehsil-reports"),
+			indusContract("licence-check", "2 charsa", "licence-desk"),
+			indusContract("well-search", "2 charsa", "licence-desk", "depth-survey"),
+			indusContract("permit-filing", "3 charsa", "owner-records", "tehsil-reports"),
 		},
 	}
 }
@@ -92,12 +98,18 @@
 			desk("gate-desk", 20), desk("buyer-portal", 30),
 			single("finance-ledger", 4, 6, 50), single("fleet-log", 4, 6, 50),
 		},
-		Units: units(),
+		// Units of the old weighbridges: a gate turn is the time in which the gate
+		// lifts, a quintal a hundredth part, a barrow one load of the scale.
+		Units: []contract.Unit{
+			{Name: "gate-turn", Dimension: contract.Time, Factor: "17/100"},
+			{Name: "quintal", Dimension: contract.Share, Factor: "1/100"},
+			{Name: "barrow", Dimension: contract.Load, Factor: "1"},
+		},
 		Contracts: []contract.Contract{
-			latencyFirst("gate-check", "gate-desk"),
-			latencyFirst("ticket-search", "gate-desk", "buyer-portal"),
-			coverageFirst("payout", "finance-ledger"),
-			coverageFirst("yard-totals", "finance-ledger", "fleet-log"),
+			gateContract("gate-check", "gate-desk"),
+			gateContract("ticket-search", "gate-desk", "buyer-portal"),
+			ledgerContract("payout", "5 gate-turn", "finance-ledger"),
+			ledgerContract("yard-totals", "30 gate-turn", "finance-ledger", "fleet-log"),
 		},
 	}
 }
@@ -118,30 +130,30 @@
 	}
 }
 
-func units() []contract.Unit {
-	return []contract.Unit{
-		{Name: "ms", Dimension: contract.Time, Factor: "0.001"},
-		{Name: "percent", Dimension: contract.Share, Factor: "0.01"},
+// indusContract waits for the whole answer, 2 s at most.
+func indusContract(name string, load contract.Quantity, groups ...string) contract.Contract {
+	return contract.Contract{
+		Name: name, Groups: groups,
+		AnswerTime: "5 vipal", MinimumCoverage: "14 anna", UpstreamLoad: load,
+		Prefer: contract.PreferCoverage,
 	}
 }
 
-// coverageFirst is a contract for trials that waits for the whole answer. The
-// owners' figures replace these values.
-func coverageFirst(name string, groups ...string) contract.Contract {
+// gateContract answers at its goal of 170 ms once the minimum is reached.
+func gateContract(name string, groups ...string) contract.Contract {
 	return contract.Contract{
 		Name: name, Groups: groups,
-		AnswerTime: "2000 ms", MinimumCoverage: "90 percent", UpstreamLoad: "2 slot",
-		Prefer: contract.PreferCoverage,
+		AnswerTime: "5 gate-turn", MinimumCoverage: "90 quintal", UpstreamLoad: "2 barrow",
+		Prefer: contract.PreferLatency, LatencyGoal: "1 gate-turn",
 	}
 }
 
-// latencyFirst is a contract for trials that answers at its goal once the
-// minimum coverage is reached.
-func latencyFirst(name string, groups ...string) contract.Contract {
+// ledgerContract accepts only whole answers.
+func ledgerContract(name string, time contract.Quantity, groups ...string) contract.Contract {
 	return contract.Contract{
 		Name: name, Groups: groups,
-		AnswerTime: "1000 ms", MinimumCoverage: "90 percent", UpstreamLoad: "2 slot",
-		Prefer: contract.PreferLatency, LatencyGoal: "170 ms",
+		AnswerTime: time, MinimumCoverage: "100 quintal", UpstreamLoad: "6 barrow",
+		Prefer: contract.PreferCoverage,
 	}
 }
 
