once: check the machine's promises inside the history simulation

Rapid draws the settings and the seed. Clocks often err by exactly the allowed error, submission numbers may get lost, and calls end in every error of the platform.

--- a/once/history_test.go
+++ b/once/history_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
 
 	"github.com/marigoldlever/marigoldlever/once"
 )
@@ -108,7 +109,7 @@
 	if s.chance(5) {
 		sub.Body = []byte(`"another request"`)
 	}
-	if c.numbered {
+	if c.numbered && !s.chance(10) { // a number may get lost on the way
 		sub.Number = uint32(c.sent)
 	}
 	open := true
@@ -156,13 +157,13 @@
 // submission on to the writer, and refuses it when that connection breaks.
 func (s *sim) enter(e *simHost, sub once.Submission, life time.Duration, tell func(once.Outcome)) {
 	s.on(e, s.upTo(3*time.Millisecond), func(now time.Time) []once.Action {
-		sub.ID = fmt.Sprintf("%s/%d", sub.Key, s.seq)
+		s.ids++
+		sub.ID = fmt.Sprint(s.ids)
 		sub.Deadline = now.Add(life)
 		w := s.writer(e, sub.Key)
 		if w == e {
-			e.answer[sub.ID] = s.truthful(sub.Key, tell)
 			e.answer[sub.Key] = tell // for lostIsNotRun
-			return e.m.Submit(now, sub)
+			return e.submit(now, sub, e.m.Submit, s.truthful(sub.Key, tell))
 		}
 		s.forward(e, w, sub, life, tell)
 		return nil
@@ -195,7 +196,6 @@
 	connected := true
 	local := sub
 	local.ID += "/refuse"
-	e.answer[local.ID] = s.truthful(sub.Key, tell)
 	broken := func(now time.Time) []once.Action {
 		if !connected {
 			return nil
@@ -205,7 +205,7 @@
 			tell(once.Outcome{Run: once.RunNotRun})
 			return nil
 		}
-		return e.m.Refuse(now, local)
+		return e.submit(now, local, e.m.Refuse, s.truthful(sub.Key, tell))
 	}
 	delivery := s.upTo(5 * time.Millisecond)
 	if s.chance(25) {
@@ -219,7 +219,7 @@
 	}
 	s.on(w, delivery, func(now time.Time) []once.Action {
 		sub.Deadline = now.Add(life)
-		w.answer[sub.ID] = s.truthful(sub.Key, func(out once.Outcome) {
+		reply := s.truthful(sub.Key, func(out once.Outcome) {
 			s.on(e, s.upTo(5*time.Millisecond), func(time.Time) []once.Action {
 				if connected {
 					connected = false
@@ -228,7 +228,7 @@
 				return nil
 			})
 		})
-		return w.m.Submit(now, sub)
+		return w.submit(now, sub, w.m.Submit, reply)
 	})
 }
 
@@ -249,9 +249,8 @@
 
 // simulate runs one seed and returns the simulation and whether its history is
 // in keeping with the model.
-func simulate(seed uint64, r rule) (*sim, bool) {
-	const busy, limit = 160 * time.Second, 400 * time.Second
-	s := newSim(seed, r)
+func simulate(seed uint64, r rule, tune func(*once.Config)) (*sim, bool) {
+	s := newSim(seed, r, tune)
 	for i := range 30 {
 		start := s.upTo(4 * time.Second)
 		if i >= 15 {
@@ -259,27 +258,30 @@
 		}
 		s.after(start, func() { s.newCaller(i).submit() })
 	}
-	s.disturb(busy)
-	s.run(limit)
+	s.disturb(160 * time.Second)
+	s.run()
+	for _, h := range s.hosts {
+		if at, ok := h.m.Next(); ok || h.m.InFlight() != 0 || len(h.open) != 0 || s.seq >= mostEvents {
+			s.fault("host %d has %d in flight, next %s, open %v", h.index, h.m.InFlight(), at, h.open)
+		}
+	}
 	return s, porcupine.CheckOperations(model, s.history)
 }
 
 // Guards against a second run of a key and an untrue answer under kills,
 // freezes, outages, lost and late updates, broken forwarding and clock errors.
 func TestHistory(t *testing.T) {
-	seeds := uint64(200)
+	seeds := uint64(400)
 	if testing.Short() {
 		seeds = 40
 	}
 	told := map[once.Run]int{}
 	reasons := map[once.Reason]int{}
-	runs := 0
 	for seed := range seeds {
-		s, ok := simulate(seed, allRules)
-		if !ok {
-			t.Errorf("seed %d: %s", seed, firstBad(s))
+		s, ok := simulate(seed, allRules, nil)
+		if !ok || len(s.faults) > 0 {
+			t.Errorf("seed %d: %s, %q", seed, firstBad(s), s.faults)
 		}
-		runs += len(s.runs)
 		for k, n := range s.told {
 			told[k] += n
 		}
@@ -287,7 +289,7 @@
 			reasons[k] += n
 		}
 	}
-	t.Logf("%d seeds, %d keys run, answers %v, reasons %v", seeds, runs, told, reasons)
+	t.Logf("answers %v, reasons %v", told, reasons)
 	for _, r := range []once.Run{once.RunRan, once.RunNotRun, once.RunMayHaveRun} {
 		if told[r] == 0 {
 			t.Errorf("no caller was told %s", r)
@@ -295,6 +297,28 @@
 	}
 }
 
+// Guards against lost, double and late answers, dispatch without a record, a
+// journal above its limit, a busy loop and state that is never freed, under any
+// settings.
+func TestMachineProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		between := func(name string, low, high int) int { return rapid.IntRange(low, high).Draw(t, name) }
+		s, ok := simulate(rapid.Uint64().Draw(t, "seed"), allRules, func(c *once.Config) {
+			c.Journals = between("journals", 1, 4)
+			c.MaxBatch = between("batch", 1, 10)
+			c.MaxPending = between("pending", 1, 10)
+			c.MaxTries = between("tries", 1, 4)
+			c.DownAfter = between("failures", 1, 4)
+			c.ClaimReserve = between("reserve", 0, 250)
+			c.MaxJournalBytes = between("bytes", 300, 3000)
+			c.MinDispatch = time.Duration(between("milliseconds", 0, 100)) * time.Millisecond
+		})
+		if !ok || len(s.faults) > 0 {
+			t.Fatalf("%s, %q", firstBad(s), s.faults)
+		}
+	})
+}
+
 // Guards against a check that can't fail: each rule switched off must show up.
 func TestHistoryFindsBrokenRules(t *testing.T) {
 	broken := []rule{earlyDispatch, lostIsSuccess, lostIsNotRun, noVersionCheck, noTombstone,
@@ -302,7 +326,12 @@
 	for _, r := range broken {
 		t.Run(string(r), func(t *testing.T) {
 			for seed := range uint64(400) {
-				if s, ok := simulate(seed, r); !ok {
+				s, ok := simulate(seed, r, func(c *once.Config) {
+					if r == readIsEnough {
+						c.MaxTries = 1 // the answer in question follows a conflict
+					}
+				})
+				if !ok {
 					t.Logf("seed %d: %s", seed, firstBad(s))
 					return
 				}
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -1,10 +1,10 @@
 package once_test
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,19 +36,11 @@
 	run func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
+func (e event) compare(o event) int {
+	if c := e.at.Compare(o.at); c != 0 {
+		return c
+	}
+	return e.seq - o.seq
 }
 
 // sim is several machines, a store, an upstream and callers in virtual time.
@@ -58,7 +50,8 @@
 	cfg     once.Config
 	now     time.Time
 	seq     int
-	queue   events
+	ids     int // submissions passed to a host
+	queue   []event
 	hosts   []*simHost
 	store   map[int]platform.Object
 	outage  time.Time // the store refuses calls until then
@@ -66,6 +59,15 @@
 	history []porcupine.Operation
 	told    map[once.Run]int
 	reasons map[once.Reason]int
+	claims  map[string]bool // attempts whose claim took effect
+	faults  []string        // broken promises of a machine to its shell
+}
+
+// mostEvents bounds a run; a machine that wakes up without need exceeds it.
+const mostEvents = 100000
+
+func (s *sim) fault(format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf(format, args...))
 }
 
 // simHost is one host; a kill replaces its machine and raises gen.
@@ -77,15 +79,17 @@
 	frozen time.Time
 	tick   time.Time // next scheduled Tick, by the host's clock
 	answer map[string]func(once.Outcome)
+	open   map[string]time.Time // deadlines of submissions without an answer, by the host's clock
+	calls  map[int]int          // calls on their way by journal
 }
 
 var epoch = time.UnixMilli(1764831527000)
 
-func newSim(seed uint64, r rule) *sim {
+func newSim(seed uint64, r rule, tune func(*once.Config)) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), rule: r, now: epoch, cfg: once.DefaultConfig(),
 		store: map[int]platform.Object{}, runs: map[string]int{},
-		told: map[once.Run]int{}, reasons: map[once.Reason]int{},
+		told: map[once.Run]int{}, reasons: map[once.Reason]int{}, claims: map[string]bool{},
 	}
 	s.cfg.Journals = 2
 	s.cfg.MaxBatch = 4
@@ -94,9 +98,12 @@
 	s.cfg.MaxResultBytes = 4 + s.rng.IntN(12)
 	s.cfg.MaxTries = 2 + s.rng.IntN(6)
 	if s.chance(20) { // journals that get full
-		s.cfg.MaxJournalBytes = 400 + s.rng.IntN(1500)
+		s.cfg.MaxJournalBytes = 300 + s.rng.IntN(1000)
 		s.cfg.ClaimReserve = 200
 	}
+	if tune != nil {
+		tune(&s.cfg)
+	}
 	for i := range 4 {
 		h := &simHost{index: i, skew: s.skew()}
 		s.hosts = append(s.hosts, h)
@@ -116,17 +123,23 @@
 	if s.rule == clockOutOfRange {
 		limit *= 4
 	}
+	if s.chance(50) { // the age limits are exact only for the largest errors
+		return limit * time.Duration(1-2*s.rng.IntN(2))
+	}
 	return s.upTo(2*limit) - limit
 }
 
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
-	heap.Push(&s.queue, event{at: s.now.Add(d), seq: s.seq, run: run})
+	e := event{at: s.now.Add(d), seq: s.seq, run: run}
+	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int { return b.compare(a) })
+	s.queue = slices.Insert(s.queue, i, e) // latest first
 }
 
-func (s *sim) run(limit time.Duration) {
-	for len(s.queue) > 0 && s.now.Before(epoch.Add(limit)) {
-		e := heap.Pop(&s.queue).(event)
+func (s *sim) run() {
+	for n := len(s.queue); n > 0 && s.seq < mostEvents; n = len(s.queue) {
+		e := s.queue[n-1]
+		s.queue = s.queue[:n-1]
 		s.now = e.at
 		e.run()
 	}
@@ -144,6 +157,8 @@
 	h.m = m
 	h.tick = time.Time{}
 	h.answer = map[string]func(once.Outcome){}
+	h.open = map[string]time.Time{}
+	h.calls = map[int]int{}
 }
 
 // on runs a step of a host's present process after a delay. A frozen host runs
@@ -158,11 +173,57 @@
 			s.on(h, wait, step)
 			return
 		}
-		s.perform(h, step(s.now.Add(h.skew)))
+		now := s.now.Add(h.skew)
+		acts := step(now)
+		for _, a := range acts {
+			s.check(h, now, a)
+		}
+		s.perform(h, acts)
 		s.wake(h)
 	})
 }
 
+// check notes what a machine must never do, whatever the shell reports to it.
+func (s *sim) check(h *simHost, now time.Time, a once.Action) {
+	switch a := a.(type) {
+	case once.Read:
+		h.calls[a.Journal]++
+	case once.Write:
+		h.calls[a.Journal]++
+		if len(a.Value) > s.cfg.MaxJournalBytes || h.calls[a.Journal] > 1 {
+			s.fault("update of %d bytes, %d calls on their way", len(a.Value), h.calls[a.Journal])
+		}
+	case once.Dispatch:
+		if _, open := h.open[a.Submission.ID]; !open || !s.claims[a.Attempt] {
+			s.fault("attempt %s dispatched twice, without a claim or after its answer", a.Attempt)
+		}
+		delete(s.claims, a.Attempt)
+	case once.Answer:
+		deadline, ok := h.open[a.Submission.ID]
+		thawed := h.frozen.Add(h.skew)
+		if !ok || now.After(deadline) && deadline.After(thawed) {
+			s.fault("submission %s answered twice or after its deadline", a.Submission.ID)
+		}
+		delete(h.open, a.Submission.ID)
+	}
+}
+
+// submit hands a submission, or the refusal of one, to a host's machine.
+func (h *simHost) submit(now time.Time, sub once.Submission, to func(time.Time, once.Submission) []once.Action, tell func(once.Outcome)) []once.Action {
+	h.answer[sub.ID] = tell
+	h.open[sub.ID] = sub.Deadline
+	if sub.Deadline.Before(now) {
+		h.open[sub.ID] = now
+	}
+	return to(now, sub)
+}
+
+func (h *simHost) freeze(until time.Time) {
+	if until.After(h.frozen) {
+		h.frozen = until
+	}
+}
+
 // wake schedules the machine's next Tick, unless an earlier one is scheduled.
 func (s *sim) wake(h *simHost) {
 	at, ok := h.m.Next()
@@ -208,7 +269,10 @@
 
 func (s *sim) read(h *simHost, a once.Read) {
 	done := func(d time.Duration, o platform.Object, err error) {
-		s.on(h, d, func(now time.Time) []once.Action { return h.m.ReadDone(now, a.Journal, o, err) })
+		s.on(h, d, func(now time.Time) []once.Action {
+			h.calls[a.Journal]--
+			return h.m.ReadDone(now, a.Journal, o, err)
+		})
 	}
 	s.after(s.upTo(10*time.Millisecond), func() {
 		if s.now.Before(s.outage) || s.chance(5) {
@@ -231,36 +295,45 @@
 		if h.gen != gen || s.rule == earlyDispatch {
 			return
 		}
-		s.on(h, d, func(now time.Time) []once.Action { return h.m.WriteDone(now, a.Journal, o, err) })
+		s.on(h, d, func(now time.Time) []once.Action {
+			h.calls[a.Journal]--
+			return h.m.WriteDone(now, a.Journal, o, err)
+		})
 	}
 	fate := s.rng.IntN(100)
 	delay := s.upTo(10 * time.Millisecond)
 	if fate < 10 {
 		delay = s.upTo(3 * time.Second)
 	}
+	lost := func() {
+		o, err := s.lost(h, a)
+		done(callTimeout, o, err)
+	}
 	s.after(delay, func() {
 		down := s.now.Before(s.outage)
-		if fate < 5 || down && fate < 50 {
-			return
-		}
-		if down {
+		switch {
+		case fate < 5:
+		case down && fate < 50:
+			if fate >= 15 {
+				lost()
+			}
+		case down:
 			done(0, platform.Object{}, platform.ErrUnavailable)
-			return
-		}
-		if fate > 97 {
-			done(0, platform.Object{}, platform.ErrBudget)
-			return
-		}
-		o, err := s.put(a)
-		if fate >= 15 {
-			done(s.upTo(10*time.Millisecond), o, err)
+		case fate >= 97:
+			refusals := []error{platform.ErrBudget, platform.ErrTooLarge}
+			done(0, platform.Object{}, refusals[s.rng.IntN(len(refusals))])
+		default:
+			o, err := s.put(a)
+			if fate >= 15 {
+				done(s.upTo(10*time.Millisecond), o, err)
+			}
 		}
 	})
-	if fate < 15 || s.now.Before(s.outage) && fate < 50 {
-		o, err := s.lost(h, a)
-		done(callTimeout, o, err)
+	if fate < 15 {
+		lost()
 	}
 	if s.rule == earlyDispatch {
+		h.calls[a.Journal]--
 		return h.m.WriteDone(now, a.Journal, platform.Object{Version: a.Base + 1}, nil)
 	}
 	return nil
@@ -273,7 +346,13 @@
 	}
 	o := platform.Object{Version: old.Version + 1, Value: a.Value}
 	s.store[a.Journal] = o
-	return o, nil
+	entries, err := once.DecodeJournal(a.Value)
+	for _, e := range entries {
+		if e.State == once.StateClaimed && !s.claims["was "+e.Attempt] {
+			s.claims[e.Attempt], s.claims["was "+e.Attempt] = true, true
+		}
+	}
+	return o, err
 }
 
 // lost returns what the host makes of a lost answer.
@@ -294,16 +373,14 @@
 
 // dispatch sends the request to the upstream, which counts runs by key.
 func (s *sim) dispatch(h *simHost, now time.Time, a once.Dispatch) {
-	if now.After(a.Submission.Deadline) {
-		return // the shell would report it as not sent; a lost report is worse
-	}
 	fate := s.rng.IntN(100)
 	r := once.DispatchResult{Kind: once.DispatchNotSent}
 	if fate >= 15 {
 		r.Kind = once.DispatchUnknown
 	}
+	late := now.After(a.Submission.Deadline)
 	s.after(s.upTo(20*time.Millisecond), func() {
-		if fate >= 20 {
+		if fate >= 20 && !late {
 			body := s.upstream(a.Submission.Key)
 			if fate >= 35 {
 				r = once.DispatchResult{Kind: once.DispatchRan, Body: body}
@@ -335,9 +412,9 @@
 			h.frozen = time.Time{}
 			s.start(h)
 		case 2, 3, 4:
-			h.frozen = s.now.Add(s.upTo(2 * time.Second))
+			h.freeze(s.now.Add(s.upTo(2 * time.Second)))
 		case 5:
-			h.frozen = s.now.Add(s.upTo(200 * time.Second))
+			h.freeze(s.now.Add(s.upTo(200 * time.Second)))
 		case 6:
 			s.outage = s.now.Add(s.upTo(3 * time.Second))
 		}
