Use the membership core: gossip, facts, proofs and owners by liveness

Cause: the daemon took its peers from the host list only and never learned of newer tables in other data centres, so that some first queries missed services whose only known owner was still cold.

Change: hosts watch each other and spread configuration number, table epochs and proofs; owners are chosen by liveness. A data race between the choice of an owner and a cancellation, found by the race detector in TestWholePath, is fixed by a lock in each attempt.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/internal/api"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
+	"github.com/marigoldlever/marigoldlever/membership"
 	"github.com/marigoldlever/marigoldlever/once"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
@@ -72,6 +73,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
+
+	replacedOnce sync.Once
 }
 
 // New returns a daemon that doesn't listen yet.
@@ -134,7 +137,7 @@
 	if d.journal, err = newJournalRunner(d.ctx, onceConfig, s.Host.ID, d.incarnation, store, d.node, dispatcher, seed); err != nil {
 		return err
 	}
-	d.members = newMemberRunner(d, self, seed)
+	d.members = newMemberRunner(d.ctx, s.Membership.Period, self, s.Host.DataCentre, s.Peers.Seeds, d.node, seed)
 	d.hosts = newHostList(s.Host.ID, d.platform, d.node)
 	d.reopener = newReopener(d)
 	d.node.Handle(methodColdNotice, d.handleColdNotice)
@@ -154,13 +157,16 @@
 	d.gateway.heard = d.learn
 	d.scatter.observe = d.learn
 	d.configuration.inForce = d.putInForce
-	d.tables.ahead = d.members.aheadOfTable
-	d.tables.changed = d.gateway.refresh
+	d.tables.holders = d.members.holdersOfTable
+	d.tables.changed = d.tableChanged
+	d.members.changed, d.members.heard, d.members.superseded = d.membersChanged, d.factsHeard, d.replaced
+	d.members.proof = func(p membership.Proof) { d.tables.prove(p.Epoch, p.At) }
+	d.proofs.proven = d.members.setProof
 	d.proofs.live = d.members.liveHere
 	d.directory.live = d.members.isLive
 	d.hosts.live, d.hosts.peers, d.hosts.changed = d.members.liveHere, d.members.othersHere, d.takeHosts
 	d.journal.writer = d.members.journalWriter
-	d.lifecycle.announce = d.members.announce
+	d.lifecycle.announce = d.announce
 	d.lifecycle.release = func() { d.tables.release(d.ctx) }
 	d.router.begin = func() bool { return d.begin(drain.OwnerWork) }
 	d.router.end = func() { d.end(drain.OwnerWork) }
@@ -255,6 +261,31 @@
 	d.wait.Wait()
 }
 
+// announce tells peers and the host list the phase of this host.
+func (d *Daemon) announce(p drain.Phase) {
+	d.members.announce(p)
+	if p == drain.Leaving {
+		go d.register()
+	}
+}
+
+// replaced ends this process: a later one of the same host runs, and two would
+// use the host's shares together.
+func (d *Daemon) replaced() {
+	d.replacedOnce.Do(func() {
+		klog.ErrorS(nil, "Another process of this host was seen, this one stops", "host", d.settings.Host.ID)
+		go d.lifecycle.step.step(d.lifecycle.host.Stop)
+	})
+}
+
+// tableChanged applies a new table of any data centre.
+func (d *Daemon) tableChanged(t ownership.Table) {
+	d.members.setEpoch(t.DataCentre, t.Epoch)
+	if t.DataCentre == d.settings.Host.DataCentre {
+		d.gateway.refresh()
+	}
+}
+
 func (d *Daemon) begin(w drain.Work) bool { return d.lifecycle.begin(w) }
 
 func (d *Daemon) end(w drain.Work) { d.lifecycle.end(w) }
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/membership"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
 )
@@ -32,7 +33,7 @@
 	list  platform.HostList
 	node  *peer.Node
 	live  func() []string
-	peers func() []knownHost // other hosts of this data centre
+	peers func() []membership.MemberState // other hosts of this data centre
 	// changed is called with each list that was read.
 	changed func(requestedAt time.Time, hosts []platform.Host)
 
@@ -67,7 +68,7 @@
 		return
 	}
 	for _, p := range h.peers() {
-		if slices.Contains(watchers, p.id) && h.ask(ctx, p.peerAddress) {
+		if slices.Contains(watchers, p.ID) && h.ask(ctx, p.Address) {
 			return
 		}
 	}
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -21,7 +21,7 @@
 
 // maintain does the periodic work that no event triggers.
 func (d *Daemon) maintain() {
-	d.register(time.Now())
+	d.register()
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
 	for {
@@ -39,7 +39,7 @@
 }
 
 // register writes this host's entry of the host list.
-func (d *Daemon) register(time.Time) {
+func (d *Daemon) register() {
 	ctx, cancel := context.WithTimeout(d.ctx, d.settings.Platform.Timeout)
 	defer cancel()
 	err := d.platform.Register(ctx, platform.Host{
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,98 +1,312 @@
 package daemon
 
 import (
+	"context"
+	"math/rand/v2"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/membership"
 	"github.com/marigoldlever/marigoldlever/once"
 	"github.com/marigoldlever/marigoldlever/ownership"
+	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
 )
 
-// memberRunner knows the other hosts.
+// gossipTimeout bounds the sending of one membership message.
+const gossipTimeout = 500 * time.Millisecond
+
+// memberRunner knows the other hosts and spreads the facts that this host has.
 type memberRunner struct {
-	daemon *Daemon
-	self   ownership.Member
+	self       ownership.Member
+	dataCentre string
+	node       *peer.Node
+	ctx        context.Context
+	seeds      []string
+	machine    *membership.Machine
+	step       stepper[membership.Message]
+	members    atomic.Pointer[memberView]
 
-	mu    sync.Mutex
-	hosts []platform.Host
+	// changed is called when the members or their states changed.
+	changed func(*memberView)
+	// heard is called with the facts of each message and its sender's address.
+	heard func(address string, f membership.Facts)
+	// proof is called when a fresher proof of this data centre's table arrived.
+	proof func(membership.Proof)
+	// superseded is called when a later process of this host was seen.
+	superseded func()
 }
 
-func newMemberRunner(d *Daemon, self ownership.Member, _ uint64) *memberRunner {
-	return &memberRunner{daemon: d, self: self}
+// memberView is the member table at one moment; it is not changed.
+type memberView struct {
+	generation uint64
+	others     []membership.MemberState
+	byID       map[string]membership.MemberState
 }
 
-func (m *memberRunner) start() {}
+func newMemberRunner(ctx context.Context, period time.Duration, self ownership.Member, dataCentre string, seeds []string, node *peer.Node, seed uint64) *memberRunner {
+	cfg := membership.DefaultConfig()
+	// The other times are multiples of the period that the measurements chose.
+	scale := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * float64(period) / float64(cfg.Period))
+	}
+	cfg.SuspectAfter, cfg.DeadAfter, cfg.ProofStep = scale(cfg.SuspectAfter), scale(cfg.DeadAfter), scale(cfg.ProofStep)
+	cfg.Period = period
+	record := membership.Member{
+		ID: self.ID, DataCentre: dataCentre, Address: self.PeerAddress, Incarnation: self.Incarnation, Phase: membership.Joining,
+	}
+	r := &memberRunner{
+		self: self, dataCentre: dataCentre, node: node, ctx: ctx, seeds: seeds,
+		machine: membership.New(cfg, record, rand.New(rand.NewPCG(seed, 2))),
+	}
+	r.members.Store(&memberView{})
+	r.step.tick, r.step.perform = r.machine.Tick, r.send
+	r.step.next = func() (time.Time, bool) { return r.machine.Next(), true }
+	node.Handle(methodGossip, r.handleGossip)
+	return r
+}
 
-func (m *memberRunner) setHosts(hosts []platform.Host) {
-	m.mu.Lock()
-	m.hosts = hosts
-	m.mu.Unlock()
-	m.daemon.configuration.setMembers(m.liveHere())
-	for _, h := range m.others() {
-		m.daemon.tables.heard(h.dataCentre, 1)
+func (r *memberRunner) start() {
+	r.machine.Join(r.seeds)
+	r.step.step(r.machine.Tick)
+}
+
+func (r *memberRunner) send(_ time.Time, messages []membership.Message) {
+	for _, m := range messages {
+		go func() {
+			ctx, cancel := context.WithTimeout(r.ctx, gossipTimeout)
+			defer cancel()
+			// A lost message is repaired by the next period's.
+			_ = r.node.Notify(ctx, m.To, methodGossip, m)
+		}()
+	}
+	r.publish()
+}
+
+func (r *memberRunner) handleGossip(_ context.Context, request peer.Request) (any, error) {
+	var m membership.Message
+	if err := request.Decode(&m); err != nil {
+		return nil, err
+	}
+	var proof membership.Proof
+	var fresher, superseded bool
+	r.step.step(func(now time.Time) []membership.Message {
+		before := r.machine.Proof()
+		answers := r.machine.Receive(now, m.From.Address, m)
+		proof = r.machine.Proof()
+		fresher = proof != before
+		superseded = r.machine.Superseded()
+		return answers
+	})
+	r.publish()
+	r.heard(m.From.Address, m.Facts)
+	if fresher {
+		r.proof(proof)
+	}
+	if superseded {
+		r.superseded()
 	}
+	return nil, nil
 }
 
-func (m *memberRunner) entries() []platform.Host {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(m.hosts), func(h platform.Host) bool { return h.Role != platform.RoleEntry })
+// publish makes a new view if the member table changed.
+func (r *memberRunner) publish() {
+	current := r.members.Load()
+	var next *memberView
+	r.step.view(func(time.Time) {
+		if g := r.machine.Generation(); g != current.generation {
+			next = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
+		}
+	})
+	if next == nil || !r.members.CompareAndSwap(current, next) {
+		return
+	}
+	for _, m := range next.others {
+		next.byID[m.ID] = m
+	}
+	r.changed(next)
 }
 
-func (m *memberRunner) liveHere() []string {
-	ids := []string{m.self.ID}
-	for _, h := range m.entries() {
-		if h.DataCentre == m.daemon.settings.Host.DataCentre && h.ID != m.self.ID && !h.Leaving {
-			ids = append(ids, h.ID)
+// setHosts takes the platform's host list as addresses to join through.
+func (r *memberRunner) setHosts(hosts []platform.Host) {
+	addresses := slices.Clone(r.seeds)
+	for _, h := range hosts {
+		if h.Role == platform.RoleEntry && h.ID != r.self.ID {
+			addresses = append(addresses, h.PeerAddress)
+		}
+	}
+	r.step.step(func(time.Time) []membership.Message {
+		r.machine.Join(addresses)
+		return nil
+	})
+}
+
+func (r *memberRunner) setConfiguration(number uint64) {
+	r.step.step(func(now time.Time) []membership.Message {
+		r.machine.SetConfiguration(now, number)
+		return nil
+	})
+}
+
+func (r *memberRunner) setEpoch(dataCentre string, epoch uint64) {
+	r.step.step(func(now time.Time) []membership.Message {
+		r.machine.SetEpoch(now, dataCentre, epoch)
+		return nil
+	})
+}
+
+func (r *memberRunner) setProof(epoch uint64, at time.Time) {
+	r.step.step(func(now time.Time) []membership.Message {
+		r.machine.SetProof(now, epoch, at)
+		return nil
+	})
+}
+
+var phases = map[drain.Phase]membership.Phase{
+	drain.Starting: membership.Joining,
+	drain.Ready:    membership.Serving,
+	drain.Out:      membership.Serving,
+	drain.Leaving:  membership.Leaving,
+	drain.Stopped:  membership.Left,
+}
+
+func (r *memberRunner) announce(p drain.Phase) {
+	r.step.step(func(now time.Time) []membership.Message {
+		r.machine.SetPhase(now, phases[p])
+		return nil
+	})
+}
+
+// live reports whether a host takes work: it is not suspected, leaving or gone.
+func live(m membership.MemberState) bool {
+	return m.Status == membership.Live && (m.Phase == membership.Serving || m.Phase == membership.Joining)
+}
+
+// liveHere returns the ids of this data centre's live hosts, this one included.
+func (r *memberRunner) liveHere() []string {
+	ids := []string{r.self.ID}
+	for _, m := range r.members.Load().others {
+		if m.DataCentre == r.dataCentre && live(m) {
+			ids = append(ids, m.ID)
 		}
 	}
 	return ids
 }
 
-func (m *memberRunner) isLive(ownership.Member) bool { return true }
+// isLive tells whether an owner should be preferred. A process that another one
+// of the same host replaced is not live.
+func (r *memberRunner) isLive(m ownership.Member) bool {
+	if m.ID == r.self.ID {
+		return m.Incarnation == r.self.Incarnation
+	}
+	known, ok := r.members.Load().byID[m.ID]
+	return ok && known.Incarnation == m.Incarnation && live(known)
+}
 
-func (m *memberRunner) aheadOfTable(string, uint64) []string { return nil }
+// othersHere returns the other hosts of this data centre that are not gone.
+func (r *memberRunner) othersHere() []membership.MemberState {
+	return slices.DeleteFunc(r.others(), func(m membership.MemberState) bool { return m.DataCentre != r.dataCentre })
+}
 
-func (m *memberRunner) journalWriter(journal int) (string, string) {
-	addresses := map[string]string{m.self.ID: m.self.PeerAddress}
-	ids := []string{m.self.ID}
-	for _, h := range m.entries() {
-		if h.ID != m.self.ID && !h.Leaving {
-			ids = append(ids, h.ID)
-			addresses[h.ID] = h.PeerAddress
+// others returns the other hosts that are not gone.
+func (r *memberRunner) others() []membership.MemberState {
+	var list []membership.MemberState
+	for _, m := range r.members.Load().others {
+		if m.Status != membership.Dead && m.Phase != membership.Left {
+			list = append(list, m)
 		}
 	}
-	id := once.Writer(journal, ids)
-	return id, addresses[id]
+	return list
 }
 
-func (m *memberRunner) announce(drain.Phase) {
-	go m.daemon.register(time.Now())
+// journalWriter returns the preferred writer of a journal among all live hosts.
+func (r *memberRunner) journalWriter(journal int) (id, address string) {
+	ids := []string{r.self.ID}
+	view := r.members.Load()
+	for _, m := range view.others {
+		if live(m) && m.Phase == membership.Serving {
+			ids = append(ids, m.ID)
+		}
+	}
+	id = once.Writer(journal, ids)
+	return id, view.byID[id].Address
 }
 
-func (m *memberRunner) setConfiguration(uint64) {}
+// holdersOfTable returns the addresses of hosts to ask for a table: those of its
+// data centre first.
+func (r *memberRunner) holdersOfTable(dataCentre string) []string {
+	var first, then []string
+	for _, m := range r.members.Load().others {
+		switch {
+		case !live(m):
+		case m.DataCentre == dataCentre:
+			first = append(first, m.Address)
+		case m.DataCentre == r.dataCentre:
+			then = append(then, m.Address)
+		}
+	}
+	return append(first[:min(len(first), maxTableAsked)], then[:min(len(then), maxTableAsked)]...)
+}
+
+// maxTableAsked bounds how many hosts of a data centre are asked for a table
+// before the platform is.
+const maxTableAsked = 2
+
+// peersOf converts the hosts of this data centre for the ownership keeper.
+func (r *memberRunner) peersOf(view *memberView) []ownership.Peer {
+	var peers []ownership.Peer
+	for _, m := range view.others {
+		if m.DataCentre != r.dataCentre {
+			continue
+		}
+		peers = append(peers, ownership.Peer{
+			Member: ownership.Member{ID: m.ID, Incarnation: m.Incarnation, PeerAddress: m.Address}, Status: ownershipStatus(m),
+		})
+	}
+	return peers
+}
 
-// knownHost is another host and where to reach it.
-type knownHost struct {
-	id, dataCentre, peerAddress string
+func ownershipStatus(m membership.MemberState) ownership.Status {
+	switch {
+	case m.Status == membership.Dead || m.Phase == membership.Left:
+		return ownership.Dead
+	case m.Phase == membership.Leaving:
+		return ownership.Leaving
+	case m.Status == membership.Suspect:
+		return ownership.Suspect
+	default:
+		return ownership.Live
+	}
 }
 
-func (m *memberRunner) others() []knownHost {
-	var list []knownHost
-	for _, h := range m.entries() {
-		if h.ID != m.self.ID {
-			list = append(list, knownHost{h.ID, h.DataCentre, h.PeerAddress})
+// membersChanged passes a new view to the parts that use it.
+func (d *Daemon) membersChanged(view *memberView) {
+	d.tables.observe(d.members.peersOf(view))
+	d.configuration.setMembers(d.members.liveHere())
+	for _, m := range view.others {
+		if m.Status == membership.Dead || m.Phase == membership.Left {
+			klog.V(1).InfoS("Host is gone", "host", m.ID, "status", m.Status, "phase", m.Phase)
+			d.configuration.peerGone(m.Address)
 		}
 	}
-	return list
 }
 
-func (m *memberRunner) count() int { return len(m.others()) + 1 }
+// factsHeard passes what a peer knows to the parts that follow it.
+func (d *Daemon) factsHeard(address string, f membership.Facts) {
+	if f.Configuration > 0 {
+		d.configuration.peerAt(address, f.Configuration)
+	}
+	for dataCentre, epoch := range f.Epochs {
+		d.tables.heard(dataCentre, epoch)
+	}
+}
 
-// othersHere returns the other hosts of this data centre.
-func (m *memberRunner) othersHere() []knownHost {
-	return slices.DeleteFunc(m.others(), func(h knownHost) bool { return h.dataCentre != m.daemon.settings.Host.DataCentre })
+// isWatcher reports whether this host reads the platform for its data centre.
+func (r *memberRunner) isWatcher() bool {
+	return slices.Contains(configuration.Watchers(r.liveHere()), r.self.ID)
 }
--- a/internal/daemon/proofs.go
+++ b/internal/daemon/proofs.go
@@ -39,10 +39,15 @@
 	node   *peer.Node
 	// live returns the ids of the live hosts of this data centre.
 	live func() []string
+	// proven is called with each proof that this host read from the platform.
+	proven func(epoch uint64, at time.Time)
 }
 
 func newProofRunner(self ownership.Member, lease time.Duration, tables *tableRunner, node *peer.Node) *proofRunner {
-	p := &proofRunner{self: self, lease: lease, tables: tables, node: node, live: func() []string { return []string{self.ID} }}
+	p := &proofRunner{
+		self: self, lease: lease, tables: tables, node: node, live: func() []string { return []string{self.ID} },
+		proven: func(uint64, time.Time) {},
+	}
 	node.Handle(methodOwnershipProof, p.handle)
 	return p
 }
@@ -66,7 +71,8 @@
 	watchers := configuration.Watchers(p.live())
 	if slices.Contains(watchers, p.self.ID) {
 		p.readPlatform(ctx)
-	} else {
+	} else if !p.fresh() {
+		// Heartbeats bring most proofs; this fills the gaps.
 		p.askWatchers(ctx, watchers)
 	}
 	if p.fresh() {
@@ -96,6 +102,9 @@
 	p.tables.step.step(func(now time.Time) []ownership.Action {
 		return p.tables.keeper.ReadDone(now, sentAt, t, ownership.Done)
 	})
+	if t.Epoch > 0 {
+		p.proven(t.Epoch, sentAt)
+	}
 	return true
 }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -51,7 +51,28 @@
 	attempt
 	ctx   context.Context
 	tried []string // ids of owners asked so far
-	owner ownership.Share
+
+	mu        sync.Mutex
+	owner     ownership.Member // the last one asked
+	cancelled bool
+}
+
+// assign notes the owner that is asked next and reports whether the attempt is
+// still wanted.
+func (a *routed) assign(owner ownership.Member) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owner = owner
+	a.tried = append(a.tried, owner.ID)
+	return !a.cancelled
+}
+
+// abandon cancels the attempt and returns the owner that was asked, if any.
+func (a *routed) abandon() ownership.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelled = true
+	return a.owner
 }
 
 func newRouter(self string, lookup ownerLookup, g *gateway, node *peer.Node, registry metrics.Registry) *router {
@@ -85,8 +106,9 @@
 			r.settle(a.id, upstream.Reply{}, errors.Wrap(upstream.ErrShed, "no owner can take the request"))
 			continue
 		}
-		a.owner = owner
-		a.tried = append(a.tried, owner.Member.ID)
+		if !a.assign(owner.Member) {
+			continue
+		}
 		if owner.Member.ID == r.self {
 			r.sendHere(ctx, a)
 			continue
@@ -140,7 +162,7 @@
 func (r *router) sendBatch(ctx context.Context, address string, batch []*routed) {
 	ctx, span := r.tracer.Start(ctx, "owner.batch", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	span.SetAttributes(attribute.String("owner", batch[0].owner.Member.ID), attribute.Int("items", len(batch)))
+	span.SetAttributes(attribute.String("owner", address), attribute.Int("items", len(batch)))
 	now := time.Now()
 	message := workBatch{Items: make([]workItem, len(batch))}
 	latest := now
@@ -210,11 +232,11 @@
 		if !ok {
 			continue
 		}
-		a := value.(*routed)
-		if a.owner.Member.ID == r.self {
+		owner := value.(*routed).abandon()
+		if owner.ID == r.self {
 			r.gateway.cancel(id)
-		} else if a.owner.Member.PeerAddress != "" {
-			remote[a.owner.Member.PeerAddress] = append(remote[a.owner.Member.PeerAddress], id)
+		} else if owner.PeerAddress != "" {
+			remote[owner.PeerAddress] = append(remote[owner.PeerAddress], id)
 		}
 	}
 	for address, attempts := range remote {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/membership"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
 )
@@ -48,12 +49,12 @@
 	return status, nil
 }
 
-func (d *Daemon) askStatus(ctx context.Context, h knownHost) api.HostStatus {
+func (d *Daemon) askStatus(ctx context.Context, h membership.MemberState) api.HostStatus {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	var status api.HostStatus
-	if err := d.node.Call(ctx, h.peerAddress, methodStatusHost, struct{}{}, &status); err != nil {
-		return api.HostStatus{ID: h.id, DataCentre: h.dataCentre, Phase: "unknown", ProofAgeMS: -1, Error: err.Error()}
+	if err := d.node.Call(ctx, h.Address, methodStatusHost, struct{}{}, &status); err != nil {
+		return api.HostStatus{ID: h.ID, DataCentre: h.DataCentre, Phase: "unknown", ProofAgeMS: -1, Error: err.Error()}
 	}
 	return status
 }
@@ -63,7 +64,7 @@
 	status := api.HostStatus{
 		ID: d.settings.Host.ID, DataCentre: d.settings.Host.DataCentre, Phase: string(d.lifecycle.phase()),
 		Ready: ready, Reason: reason, Configuration: d.configuration.number(), InFlight: d.lifecycle.inFlight(),
-		Members: d.members.count(), ProofAgeMS: -1,
+		Members: len(d.members.others()) + 1, ProofAgeMS: -1,
 	}
 	d.directory.withHolder(func(now time.Time, h *ownership.Holder) {
 		status.TableEpoch = h.Table().Epoch
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -26,18 +26,18 @@
 	keeper     *ownership.Keeper
 	step       stepper[ownership.Action]
 	ctx        context.Context
-	// ahead returns the peer addresses of hosts that know at least the epoch.
-	ahead func(dataCentre string, epoch uint64) []string
-	// changed is called after a table or a proof was taken.
-	changed func()
+	// holders returns the peer addresses of hosts to ask for a table.
+	holders func(dataCentre string) []string
+	// changed is called after a newer table of any data centre was taken.
+	changed func(t ownership.Table)
 }
 
 func newTableRunner(ctx context.Context, cfg ownership.KeeperConfig, dataCentre string, self ownership.Member, store platform.Store, node *peer.Node, d *directory) *tableRunner {
 	r := &tableRunner{
 		dataCentre: dataCentre, store: store, node: node, directory: d, ctx: ctx,
 		keeper:  ownership.NewKeeper(cfg, dataCentre, self),
-		ahead:   func(string, uint64) []string { return nil },
-		changed: func() {},
+		holders: func(string) []string { return nil },
+		changed: func(ownership.Table) {},
 	}
 	r.step.tick, r.step.perform = r.keeper.Tick, r.perform
 	r.step.next = func() (time.Time, bool) {
@@ -71,7 +71,7 @@
 func (r *tableRunner) adopt(now time.Time, t ownership.Table) {
 	klog.InfoS("Ownership table adopted", "dataCentre", t.DataCentre, "epoch", t.Epoch, "members", len(t.Members))
 	r.directory.setTable(now, t)
-	r.changed()
+	r.changed(t)
 }
 
 // prove passes a proof to the holder, which ignores one for another epoch than
@@ -149,7 +149,7 @@
 }
 
 func (r *tableRunner) fetchFromPeers(f ownership.Fetch) (ownership.Table, bool) {
-	for _, address := range r.ahead(f.DataCentre, f.Epoch) {
+	for _, address := range r.holders(f.DataCentre) {
 		ctx, cancel := context.WithTimeout(r.ctx, fetchTimeout)
 		var m tableMessage
 		err := r.node.Call(ctx, address, methodOwnershipFetch, fetchTableRequest{DataCentre: f.DataCentre}, &m)
@@ -168,6 +168,7 @@
 	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Learn(now, t) })
 	if t.DataCentre != r.dataCentre {
 		r.directory.setTable(time.Now(), t)
+		r.changed(t)
 	}
 }
 
