--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -142,6 +142,7 @@
 	TableEpoch    uint64 `json:"table_epoch"`
 	ProofAgeMS    int64  `json:"proof_age_ms"` // milliseconds; -1 when there is no proof
 	InFlight      int    `json:"in_flight"`
+	AtUpstreams   int    `json:"at_upstreams"` // requests queued for or sent to upstreams of this host
 	CutOff        int    `json:"cut_off"`
 	Members       int    `json:"members"`
 	Error         string `json:"error,omitempty"` // why the host could not be asked
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,7 +167,7 @@
 	d.hosts.live, d.hosts.peers, d.hosts.changed = d.members.liveHere, d.members.othersHere, d.takeHosts
 	d.journal.writer = d.members.journalWriter
 	d.lifecycle.announce = d.announce
-	d.lifecycle.release = func() { d.tables.release(d.ctx) }
+	d.lifecycle.release = d.release
 	d.router.begin = func() bool { return d.begin(drain.OwnerWork) }
 	d.router.end = func() { d.end(drain.OwnerWork) }
 	d.journal.begin = func() bool { return d.begin(drain.RecordWork) }
@@ -252,6 +252,11 @@
 // Kill ends everything at once, as a crash does.
 func (d *Daemon) Kill() {
 	d.cancel()
+	d.members.step.stop()
+	d.tables.step.stop()
+	d.configuration.follow.stop()
+	d.configuration.edit.stop()
+	d.journal.step.stop()
 	closed, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = d.server.Shutdown(closed)
@@ -269,6 +274,12 @@
 	}
 }
 
+// release writes what this host still has to write, then gives up its shares.
+func (d *Daemon) release() {
+	d.journal.flush(d.ctx)
+	d.tables.release(d.ctx)
+}
+
 // replaced ends this process: a later one of the same host runs, and two would
 // use the host's shares together.
 func (d *Daemon) replaced() {
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -164,6 +164,20 @@
 	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
 }
 
+// flush waits until every outcome is written: a resend would otherwise get
+// may_have_run for a request that is known to have run. A platform that is down
+// must not hold up a planned stop for long.
+func (r *journalRunner) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	for ctx.Err() == nil && r.inFlight() > 0 {
+		sleep(ctx, releasePoll)
+	}
+}
+
+// flushTimeout bounds the wait for outcomes at a planned stop.
+const flushTimeout = 3 * time.Second
+
 func (r *journalRunner) inFlight() int {
 	n := 0
 	r.step.view(func(time.Time) { n = r.machine.InFlight() })
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -75,6 +75,12 @@
 	return n
 }
 
+func (l *lifecycle) cutOff() int {
+	n := 0
+	l.step.view(func(time.Time) { n = l.host.CutOff() })
+	return n
+}
+
 // shutDown begins a planned stop and waits for its end. It returns the number of
 // requests that were cut off.
 func (l *lifecycle) shutDown(ctx context.Context) int {
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -9,7 +9,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/membership"
 	"github.com/marigoldlever/marigoldlever/once"
@@ -305,8 +304,3 @@
 		d.tables.heard(dataCentre, epoch)
 	}
 }
-
-// isWatcher reports whether this host reads the platform for its data centre.
-func (r *memberRunner) isWatcher() bool {
-	return slices.Contains(configuration.Watchers(r.liveHere()), r.self.ID)
-}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -64,6 +64,7 @@
 	status := api.HostStatus{
 		ID: d.settings.Host.ID, DataCentre: d.settings.Host.DataCentre, Phase: string(d.lifecycle.phase()),
 		Ready: ready, Reason: reason, Configuration: d.configuration.number(), InFlight: d.lifecycle.inFlight(),
+		AtUpstreams: d.gateway.inFlight(), CutOff: d.lifecycle.cutOff(),
 		Members: len(d.members.others()) + 1, ProofAgeMS: -1,
 	}
 	d.directory.withHolder(func(now time.Time, h *ownership.Holder) {
