load: add a warm-up that is not recorded

Cause: a new system's upstreams start on their cold-start ramp, so that the first second decided the p99 of a short load (steady, 100 queries/s, 9 s: p99 273.2 ms).

Change: -warmup (4 s by default) sends load before the measured part; events of a scenario start after it.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -20,7 +20,7 @@
 type loadFlags struct {
 	layout, scenario, policies, addresses, contracts, html string
 	rate                                                   float64
-	duration                                               time.Duration
+	duration, warmup                                       time.Duration
 	seed                                                   uint64
 	hosts                                                  int
 }
@@ -46,7 +46,8 @@
 			fs.StringVar(&f.contracts, "contracts", "", "`contracts` of the queries, separated by commas (default: the layout's first)")
 			fs.StringVar(&f.html, "html", "", "write a report with charts to this `file`")
 			fs.Float64Var(&f.rate, "rate", 100, "queries per `second`")
-			fs.DurationVar(&f.duration, "duration", 15*time.Second, "length of the load")
+			fs.DurationVar(&f.duration, "duration", 15*time.Second, "length of the measured part")
+			fs.DurationVar(&f.warmup, "warmup", 4*time.Second, "load before the measured part and the scenario's events")
 			fs.Uint64Var(&f.seed, "seed", 1, "`seed` of arrivals, work times and faults")
 			fs.IntVar(&f.hosts, "hosts", 2, "daemons in each data centre of the embedded system")
 			return func(ctx context.Context, env *environment, args []string) error {
@@ -75,8 +76,8 @@
 	if err != nil {
 		return usageError("-scenario %s: accepted are %s", f.scenario, scenarioNames())
 	}
-	if f.rate <= 0 || f.duration <= 0 || f.hosts < 1 {
-		return usageError("-rate, -duration and -hosts must be positive")
+	if f.rate <= 0 || f.duration <= 0 || f.warmup < 0 || f.hosts < 1 {
+		return usageError("-rate, -duration and -hosts must be positive, -warmup not negative")
 	}
 	var rows []load.Row
 	for name := range strings.SplitSeq(f.policies, ",") {
@@ -94,7 +95,7 @@
 }
 
 func runPolicy(ctx context.Context, env *environment, f loadFlags, l layout.Layout, s trial.Scenario, name string, policy settings.Policy) (load.Row, error) {
-	o := load.Options{Contracts: []string{l.Contracts[0].Name}, Request: []byte(`{"load":true}`), Rate: f.rate, Duration: f.duration, Seed: f.seed}
+	o := load.Options{Contracts: []string{l.Contracts[0].Name}, Request: []byte(`{"load":true}`), Rate: f.rate, Warmup: f.warmup, Duration: f.duration, Seed: f.seed}
 	if f.contracts != "" {
 		o.Contracts = strings.Split(f.contracts, ",")
 	}
@@ -124,7 +125,10 @@
 // playLoad runs the load and the scenario's events side by side.
 func playLoad(ctx context.Context, cluster *trial.Cluster, events []trial.Event, name string, o load.Options) (load.Row, error) {
 	played := make(chan error, 1)
-	go func() { played <- cluster.Play(ctx, events) }()
+	go func() {
+		time.Sleep(o.Warmup)
+		played <- cluster.Play(ctx, events)
+	}()
 	row := load.Row{Name: name, Result: load.Run(ctx, o)}
 	for _, e := range events {
 		row.Events = append(row.Events, load.Event{At: e.At, Label: e.Label})
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -35,8 +35,11 @@
 	Contracts []string        // contracts of the queries, used in turn
 	Request   json.RawMessage // body of every query
 	Rate      float64         // queries per second
-	Duration  time.Duration
-	Seed      uint64
+	// Warmup is sent before the measured part and not recorded: upstreams of a
+	// new system start on their cold-start ramp.
+	Warmup   time.Duration
+	Duration time.Duration // of the measured part
+	Seed     uint64
 	// Progress is called about once a second.
 	Progress func(Bucket)
 }
@@ -106,8 +109,12 @@
 	return r
 }
 
-// record takes the end of a request that was due at a time since the start.
+// record takes the end of a request that was due at a time since the start of
+// the measured part.
 func (r *recorder) record(due, latency time.Duration, a api.Answer, err error) {
+	if due < 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.buckets[min(int(due/bucketWidth), len(r.buckets)-1)]
@@ -189,9 +196,9 @@
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	rec := newRecorder(o.Duration)
 	var wait sync.WaitGroup
-	started := time.Now()
+	started := time.Now().Add(o.Warmup)
 	shown := 0
-	for n, due := 0, time.Duration(0); ; n++ {
+	for n, due := 0, -o.Warmup; ; n++ {
 		due += time.Duration(rng.ExpFloat64() / o.Rate * float64(time.Second))
 		if due >= o.Duration || !waitUntil(ctx, started.Add(due)) {
 			break
