--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,11 @@
 	// shutDownMargin is allowed on top of the grace period for writing the
 	// release and the host list entry.
 	shutDownMargin = 3 * time.Second
+	// routesPatience bounds how long a new host waits for the tables of other data
+	// centres before it becomes ready.
+	routesPatience = 5 * time.Second
+	// routesPoll is the time between two looks at them.
+	routesPoll = 20 * time.Millisecond
 )
 
 // Daemon is one host of the system.
@@ -75,6 +81,9 @@
 	wait   sync.WaitGroup
 
 	replacedOnce sync.Once
+	// routed is set once this host knows the owners of the upstreams, or has
+	// waited for routesPatience.
+	routed atomic.Bool
 }
 
 // New returns a daemon that doesn't listen yet.
@@ -215,6 +224,7 @@
 	d.background(d.configuration.pollUntilReady)
 	d.background(func() { d.proofs.run(d.ctx) })
 	d.background(d.maintain)
+	d.background(d.awaitRoutes)
 	d.members.start()
 	d.tables.start()
 }
@@ -227,6 +237,18 @@
 	}()
 }
 
+// awaitRoutes holds back readiness until the tables of all data centres are known:
+// a host that has only the configuration refuses most queries. A data centre may
+// have no host or be cut off, so the wait is bounded.
+func (d *Daemon) awaitRoutes() {
+	ctx, cancel := context.WithTimeout(d.ctx, routesPatience)
+	defer cancel()
+	for ctx.Err() == nil && !d.directory.routesKnown() {
+		sleep(ctx, routesPoll)
+	}
+	d.routed.Store(true)
+}
+
 // stop makes a planned stop and returns the number of requests cut off.
 func (d *Daemon) stop() int {
 	klog.InfoS("Planned stop begins", "host", d.settings.Host.ID, "inFlight", d.lifecycle.inFlight())
--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -421,3 +421,18 @@
 		Replica: replica, Incarnation: r.Incarnation, SentAt: sentAt, Draining: r.Load.Draining || isDraining(err),
 	})
 }
+
+// routesKnown reports whether the configuration and the ownership tables of all
+// its data centres are known.
+func (d *directory) routesKnown() bool {
+	state := d.state.Load()
+	if state.active == nil {
+		return false
+	}
+	for _, centre := range state.active.Document.DataCentres {
+		if state.tables[centre.Name].Epoch == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -298,5 +298,8 @@
 	var ready bool
 	var reason string
 	d.lifecycle.step.view(func(time.Time) { ready, reason = d.lifecycle.host.Ready() })
+	if ready && !d.routed.Load() {
+		return false, "owners of upstreams not known yet"
+	}
 	return ready, reason
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -31,7 +31,7 @@
 
 // Options describe a load.
 type Options struct {
-	Addresses []string        // caller addresses of the daemons, used in turn
+	Addresses []string        // caller addresses of the daemons; ready ones are used in turn
 	Contracts []string        // contracts of the queries, used in turn
 	Request   json.RawMessage // body of every query
 	Rate      float64         // queries per second
@@ -188,11 +188,11 @@
 
 // Run sends the load and waits for every answer.
 func Run(ctx context.Context, o Options) Result {
-	clients := make([]*api.Client, len(o.Addresses))
-	for i, address := range o.Addresses {
-		clients[i] = api.NewClient(address, maxConnections)
-		defer clients[i].Close()
-	}
+	hosts := newBalancer(o.Addresses)
+	defer hosts.close()
+	checking, stop := context.WithCancel(ctx)
+	defer stop()
+	go hosts.run(checking)
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	rec := newRecorder(o.Duration)
 	var wait sync.WaitGroup
@@ -203,7 +203,7 @@
 		if due >= o.Duration || !waitUntil(ctx, started.Add(due)) {
 			break
 		}
-		client := clients[n%len(clients)]
+		client := hosts.pick()
 		name := o.Contracts[n%len(o.Contracts)]
 		wait.Add(1)
 		go func() {
