Refuse two replicas with one address in different spellings

Cause: addresses were compared as text, so that 10.0.0.1:80 and [::ffff:10.0.0.1]:80 passed as two upstreams, which together load one beyond its slots. Port 0 was accepted.

Change: addresses are compared as IP address and port, and port 0 is refused.

--- a/configuration/validate.go
+++ b/configuration/validate.go
@@ -16,7 +16,7 @@
 type builder struct {
 	*Active
 	*problems
-	addresses map[string]struct{}
+	addresses map[netip.AddrPort]struct{}
 }
 
 // build checks the whole document. Contracts come last because they refer to
@@ -46,7 +46,7 @@
 	b.groups = make(map[string]int, len(b.Document.Groups))
 	b.services = make(map[string]servicePosition, services)
 	b.replicas = make(map[string]replicaPosition, replicas)
-	b.addresses = make(map[string]struct{}, replicas)
+	b.addresses = make(map[netip.AddrPort]struct{}, replicas)
 }
 
 // dataCentres checks the data centres.
@@ -128,15 +128,23 @@
 	if !validID(r.ID) {
 		b.add(p.path()+"/id", ErrName, "%q", excerpt([]byte(r.ID)))
 	}
-	if _, twice := b.addresses[r.Address]; twice {
-		b.add(p.path()+"/address", ErrDuplicateName, "address %q", r.Address)
-	}
-	if _, err := netip.ParseAddrPort(r.Address); err != nil {
-		b.add(p.path()+"/address", ErrAddress, "%q", excerpt([]byte(r.Address)))
-	}
+	b.address(p, r.Address)
 	b.checkPlacement(p, r)
 	b.replicas[r.ID] = p
-	b.addresses[r.Address] = struct{}{}
+}
+
+// address checks that an address is valid and not used in any spelling.
+func (b *builder) address(p replicaPosition, text string) {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil || parsed.Port() == 0 {
+		b.add(p.path()+"/address", ErrAddress, "%q", excerpt([]byte(text)))
+		return
+	}
+	key := netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port())
+	if _, twice := b.addresses[key]; twice {
+		b.add(p.path()+"/address", ErrDuplicateName, "address %q", text)
+	}
+	b.addresses[key] = struct{}{}
 }
 
 // checkPlacement checks what a replica has besides its id and address.
