--- a/membership/machine.go
+++ b/membership/machine.go
@@ -27,14 +27,19 @@
 	suspects map[string]time.Time
 	sequence uint64
 
-	period time.Time // next heartbeats
-	pushAt time.Time // next push; zero if there is no news
-	news   []string  // IDs changed since the last push
-	rose   bool      // a fact that concerns all data centres rose
-	recent []repeat  // changes that heartbeats still repeat
-	asked  time.Time // when a fresher proof was last asked for
-	sweep  time.Time // next removal of old records
-	joinAt time.Time // next question to a known address
+	period   time.Time            // next heartbeats
+	pushAt   time.Time            // next push; zero if there is no news
+	news     []string             // IDs changed since the last push
+	rose     bool                 // a fact that concerns all data centres rose
+	recent   []repeat             // changes that heartbeats still repeat
+	asked    time.Time            // when a fresher proof was last asked for
+	sweep    time.Time            // next removal of old records
+	joinAt   time.Time            // next question to a known address
+	links    []string             // hosts to push to
+	linked   int                  // number of others when links were chosen
+	relink   time.Time            // next choice of links
+	restated time.Time            // last change of the own record
+	roseAt   map[string]time.Time // epochs that rose lately
 }
 
 // watch is the state of the heartbeats to one host.
@@ -69,6 +74,7 @@
 		rings:    make(map[string]*ring),
 		groups:   make(map[string]*group),
 		facts:    Facts{Epochs: make(map[string]uint64)},
+		roseAt:   make(map[string]time.Time),
 		watched:  make(map[string]*watch),
 		suspects: make(map[string]time.Time),
 	}
@@ -138,6 +144,7 @@
 // restate raises the version of the own record and spreads it.
 func (m *Machine) restate(now time.Time) {
 	m.self.Version++
+	m.restated = now
 	m.changed(now, m.self.ID)
 }
 
@@ -166,6 +173,9 @@
 	if late := now.Sub(m.period); !m.period.IsZero() && late > m.cfg.Period/2 {
 		m.resume(late)
 	}
+	if m.restated.IsZero() {
+		m.restated = now
+	}
 	if !now.Before(m.period) {
 		out = m.beat(now)
 	}
@@ -301,13 +311,13 @@
 	if len(from) == 0 {
 		return nil
 	}
-	return []Message{m.message(Join, from[m.rng.IntN(len(from))])}
+	return []Message{m.message(now, Join, from[m.rng.IntN(len(from))], true)}
 }
 
 // heartbeat returns a heartbeat to a host, on request with digests.
 func (m *Machine) heartbeat(now time.Time, id string, digests bool) Message {
 	to := m.members[id]
-	msg := m.message(Heartbeat, to.Address)
+	msg := m.message(now, Heartbeat, to.Address, digests)
 	m.sequence++
 	msg.Sequence = m.sequence
 	w := m.watched[id]
@@ -359,7 +369,7 @@
 func (m *Machine) push(now time.Time) []Message {
 	m.pushAt = time.Time{}
 	others := m.ring(m.self.DataCentre).after(m.self.ID)
-	targets := m.cfg.Links.Push(others, m.rng)
+	targets := m.pushLinks(now, others)
 	var accused []string
 	for _, id := range m.news {
 		// The suspect itself has to learn of the suspicion to refute it.
@@ -375,7 +385,7 @@
 	var out []Message
 	for _, id := range targets {
 		to := m.members[id]
-		msg := m.message(News, to.Address)
+		msg := m.message(now, News, to.Address, to.DataCentre != m.self.DataCentre)
 		for _, changed := range first {
 			msg.Updates = m.appendRecord(msg.Updates, changed)
 		}
@@ -390,6 +400,18 @@
 	return out
 }
 
+// pushLinks returns the hosts to push to. They stay the same for a while, as each
+// new one costs a connection.
+func (m *Machine) pushLinks(now time.Time, others []string) []string {
+	gone := func(id string) bool { return m.members[id] == nil || m.members[id].gone() }
+	if m.linked != len(others) || now.After(m.relink) || slices.ContainsFunc(m.links, gone) {
+		m.links = m.cfg.Links.Push(others, m.rng)
+		m.linked = len(others)
+		m.relink = now.Add(m.cfg.Relink)
+	}
+	return m.links
+}
+
 // forget drops old records of hosts that are gone.
 func (m *Machine) forget(now time.Time) {
 	m.sweep = now.Add(m.cfg.RetainGone / 4)
@@ -401,8 +423,31 @@
 	}
 }
 
-func (m *Machine) message(kind Kind, to string) Message {
-	return Message{To: to, Kind: kind, From: m.self, Facts: m.Facts()}
+// restAfter is when an unchanged record or epoch no longer rides on every
+// message, but only on those that carry everything, one or two each period.
+const restAfter = 5 * time.Second
+
+// message returns a message; a full one carries the whole own record and all
+// epochs.
+func (m *Machine) message(now time.Time, kind Kind, to string, full bool) Message {
+	if full {
+		return Message{To: to, Kind: kind, From: m.self, Facts: m.Facts()}
+	}
+	msg := Message{To: to, Kind: kind, From: m.self, Facts: Facts{Configuration: m.facts.Configuration}}
+	if now.Sub(m.restated) > restAfter {
+		msg.From = Member{ID: m.self.ID, DataCentre: m.self.DataCentre}
+	}
+	for dataCentre, at := range m.roseAt {
+		if now.Sub(at) > restAfter {
+			delete(m.roseAt, dataCentre)
+			continue
+		}
+		if msg.Facts.Epochs == nil {
+			msg.Facts.Epochs = make(map[string]uint64)
+		}
+		msg.Facts.Epochs[dataCentre] = m.facts.Epochs[dataCentre]
+	}
+	return msg
 }
 
 func (m *Machine) appendRecord(list []Member, id string) []Member {
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,12 +60,12 @@
 type Member struct {
 	ID         string `json:"id"`
 	DataCentre string `json:"dc"`
-	Address    string `json:"addr"`
+	Address    string `json:"addr,omitempty"`
 	// Incarnation tells the processes of a host apart; a later one is greater.
-	Incarnation string `json:"inc"`
+	Incarnation string `json:"inc,omitempty"`
 	// Version is raised by the host itself, to change its phase or to refute.
 	Version uint64 `json:"ver,omitempty"`
-	Phase   Phase  `json:"phase"`
+	Phase   Phase  `json:"phase,omitempty"`
 	Status  Status `json:"status,omitempty"`
 }
 
@@ -83,8 +83,8 @@
 	return m.Status > old.Status
 }
 
-// digest hashes what a host says of itself. Suspicions are left out, as they
-// come and go.
+// digest hashes what a host says of itself. The version is left out, as it rises
+// with each suspicion that the host refutes.
 func (m Member) digest() uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -92,8 +92,7 @@
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
-	// Spreads the version over the hash before it is added.
-	return d.Sum64() + m.Version*0x9e3779b97f4a7c15
+	return d.Sum64()
 }
 
 // MemberState is a host as this host sees it.
@@ -148,7 +147,7 @@
 	// To is the address that the message goes to; it is not encoded.
 	To   string `json:"-"`
 	Kind Kind   `json:"kind"`
-	// From is the sender's record.
+	// From is the sender's record; often only ID and data centre.
 	From Member `json:"from"`
 	// Sequence numbers heartbeats; an Ack repeats the number it answers.
 	Sequence uint64     `json:"seq,omitempty"`
@@ -178,6 +177,8 @@
 	ProofStep time.Duration
 	// Rejoin is the time between questions to known addresses without member.
 	Rejoin time.Duration
+	// Relink is how long the random links for news are kept.
+	Relink time.Duration
 	// Repeat is how many heartbeats to each watched host carry a change again.
 	Repeat int
 	// MaxUpdates bounds the records in one message.
@@ -196,6 +197,7 @@
 		PushDelay:    20 * time.Millisecond,
 		ProofStep:    400 * time.Millisecond,
 		Rejoin:       5 * time.Second,
+		Relink:       time.Minute,
 		Repeat:       2,
 		MaxUpdates:   64,
 		RetainGone:   5 * time.Minute,
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -9,7 +9,7 @@
 const (
 	// digestRest is how long a data centre's records must not have changed
 	// before their digests are compared: changes on their way differ anyway.
-	digestRest = 5 * time.Second
+	digestRest = 2 * time.Second
 	// recordsPause is the least time between two answers with the records of
 	// one data centre, which bounds their cost.
 	recordsPause = 10 * time.Second
@@ -26,10 +26,17 @@
 		m.merge(now, msg.From) // a namesake; a later process supersedes this one
 		return nil
 	}
-	if from != "" {
+	if from == "" {
+		from = msg.From.Address
+	}
+	if s := m.members[msg.From.ID]; from == "" && s != nil {
+		from = s.Address
+	}
+	if msg.From.Phase != "" { // else the record is shortened
 		msg.From.Address = from
+		m.merge(now, msg.From)
 	}
-	m.merge(now, msg.From)
+	msg.From.Address = from
 	if w := m.watched[msg.From.ID]; w != nil {
 		w.heard, w.accused = now, false
 	}
@@ -44,7 +51,7 @@
 	case Ack:
 		m.acked(now, msg)
 	case Join:
-		out = m.records(msg.From.Address, slices.Sorted(maps.Keys(m.rings)))
+		out = m.records(now, msg.From.Address, slices.Sorted(maps.Keys(m.rings)))
 	}
 	out = append(out, m.compare(now, msg)...)
 	return append(out, m.ask(now, msg)...)
@@ -53,7 +60,7 @@
 // ack answers a heartbeat. A sender that others take for suspect or dead is told
 // so, that it can refute.
 func (m *Machine) ack(now time.Time, msg Message) Message {
-	answer := m.message(Ack, msg.From.Address)
+	answer := m.message(now, Ack, msg.From.Address, msg.Digests != nil)
 	answer.Sequence = msg.Sequence
 	if s := m.members[msg.From.ID]; s != nil && s.Status != Live {
 		answer.Updates = append(answer.Updates, s.Member)
@@ -126,6 +133,7 @@
 		}
 		if epoch > m.facts.Epochs[dataCentre] {
 			m.facts.Epochs[dataCentre] = epoch
+			m.roseAt[dataCentre] = now
 			rose = true
 		}
 	}
@@ -156,7 +164,10 @@
 		return
 	}
 	if old != nil {
-		m.leave(now, old.Member)
+		m.leave(old.Member)
+		m.redigest(now, old.Member, u)
+	} else {
+		m.redigest(now, Member{Phase: Left}, u)
 	}
 	m.members[u.ID] = &MemberState{Member: u, Since: now}
 	m.enter(now, u)
@@ -181,7 +192,6 @@
 		return
 	}
 	m.ring(u.DataCentre).add(u.ID)
-	m.redigest(now, u)
 	if u.Status != Suspect || u.DataCentre != m.self.DataCentre {
 		return
 	}
@@ -193,24 +203,30 @@
 }
 
 // leave takes a record out again.
-func (m *Machine) leave(now time.Time, u Member) {
+func (m *Machine) leave(u Member) {
 	delete(m.suspects, u.ID)
-	if u.gone() {
-		return
+	if !u.gone() {
+		m.ring(u.DataCentre).remove(u.ID)
 	}
-	m.ring(u.DataCentre).remove(u.ID)
-	m.redigest(now, u)
 }
 
-// redigest adds a record to its data centre's digest or takes it out again.
-func (m *Machine) redigest(now time.Time, u Member) {
-	g := m.groups[u.DataCentre]
-	if g == nil {
-		g = &group{}
-		m.groups[u.DataCentre] = g
-	}
-	g.digest ^= u.digest()
-	g.changed = now
+// redigest replaces a record in the digests. Records of gone hosts do not count.
+func (m *Machine) redigest(now time.Time, old, u Member) {
+	if old.DataCentre == u.DataCentre && !old.gone() && !u.gone() && old.digest() == u.digest() {
+		return
+	}
+	for _, r := range []Member{old, u} {
+		if r.gone() {
+			continue
+		}
+		g := m.groups[r.DataCentre]
+		if g == nil {
+			g = &group{}
+			m.groups[r.DataCentre] = g
+		}
+		g.digest ^= r.digest()
+		g.changed = now
+	}
 }
 
 // changed spreads the record of a host.
@@ -267,18 +283,18 @@
 	if len(differ) == 0 {
 		return nil
 	}
-	return m.records(msg.From.Address, differ)
+	return m.records(now, msg.From.Address, differ)
 }
 
 // records returns messages with all records of the data centres that are not
 // gone.
-func (m *Machine) records(to string, dataCentres []string) []Message {
-	out := []Message{m.message(Records, to)}
+func (m *Machine) records(now time.Time, to string, dataCentres []string) []Message {
+	out := []Message{m.message(now, Records, to, true)}
 	for _, name := range dataCentres {
 		for _, id := range m.ring(name).ids {
 			last := &out[len(out)-1]
 			if len(last.Updates) >= m.cfg.MaxUpdates {
-				out = append(out, m.message(Records, to))
+				out = append(out, m.message(now, Records, to, true))
 				last = &out[len(out)-1]
 			}
 			last.Updates = m.appendRecord(last.Updates, id)
