once: let a resend wait for the outcome of another host's record

Cause: a resend through another host that met a claimed record was answered may_have_run at once, although the outcome often follows within milliseconds.

A full queue no longer starts an update before it is wanted: with waiting resends in it, that was a busy loop (rapid, batch size 1).

Conclusion: fewer unknown outcomes for at most 10 reads a second for each waiting resend.

--- a/once/config.go
+++ b/once/config.go
@@ -23,6 +23,8 @@
 	DownAfter       int           // failed calls in a row after which the platform counts as down
 	DownRetry       time.Duration // time for which submissions are refused before the next probe
 	MinDispatch     time.Duration // time to the deadline below which a record is released, not dispatched
+	ClaimPoll       time.Duration // time between reads for a resend that meets another host's record
+	ClaimWait       time.Duration // longest wait of such a resend for the outcome
 	OutcomeDelay    time.Duration // longest wait of an outcome for an update it can share
 	UpdateInterval  time.Duration // shortest time between updates of one journal
 	MaxJournalBytes int           // largest journal
@@ -50,6 +52,8 @@
 		DownAfter:       2,
 		DownRetry:       time.Second,
 		MinDispatch:     10 * time.Millisecond,
+		ClaimPoll:       100 * time.Millisecond,
+		ClaimWait:       time.Second,
 		OutcomeDelay:    500 * time.Millisecond,
 		UpdateInterval:  100 * time.Millisecond,
 		MaxJournalBytes: platform.MaxValueBytes - 4<<10,
--- a/once/journal.go
+++ b/once/journal.go
@@ -47,7 +47,7 @@
 	if len(j.queue) == 0 && len(j.unsettled) == 0 {
 		return time.Time{}, false
 	}
-	if len(j.unsettled) > 0 || len(j.queue) >= m.cfg.MaxBatch {
+	if len(j.unsettled) > 0 {
 		return j.notBefore, true
 	}
 	return later(j.notBefore, j.wanted), true
@@ -190,7 +190,7 @@
 		}
 	}
 	if e := j.contents.index[o.key.Text]; e != nil {
-		if p, acts := m.placeExisting(o, e); p != placed {
+		if p, acts := m.placeExisting(now, o, e); p != placed {
 			return p, acts
 		}
 	}
@@ -202,7 +202,7 @@
 
 // placeExisting judges an operation on a key that has an entry. It returns
 // placed if the entry may be replaced.
-func (m *Machine) placeExisting(o *op, e *stored) (placement, []Action) {
+func (m *Machine) placeExisting(now time.Time, o *op, e *stored) (placement, []Action) {
 	if e.State != StateClaimed || !sameRequest(o, e) {
 		if !replaceable(o, e) {
 			return m.end(o, recorded(o, e))
@@ -218,10 +218,26 @@
 		}
 		return ended, m.join(a, o)
 	}
-	if !o.seen {
+	return m.placeClaimed(now, o)
+}
+
+// placeClaimed judges an operation that meets the record of another host. It
+// waits some time for the outcome; the writer may as well be gone for good.
+func (m *Machine) placeClaimed(now time.Time, o *op) (placement, []Action) {
+	switch {
+	case now.Before(o.wanted):
+		return waiting, nil
+	case !o.seen:
 		return unread, nil
+	case o.patience.IsZero():
+		o.patience = now.Add(m.cfg.ClaimWait)
+	}
+	if !now.Before(o.patience) {
+		return m.end(o, Outcome{Run: RunMayHaveRun, Reason: ReasonClaimed})
 	}
-	return m.end(o, Outcome{Run: RunMayHaveRun, Reason: ReasonClaimed})
+	o.wanted = now.Add(m.cfg.ClaimPoll)
+	o.asked, o.seen = false, false
+	return waiting, nil
 }
 
 // replaceable reports whether a tombstone gives way to the operation. A
--- a/once/op.go
+++ b/once/op.go
@@ -37,6 +37,7 @@
 	wanted   time.Time // when it should be written
 	asked    bool      // a read or update was started after the submission
 	seen     bool      // the journal is known as of after the submission
+	patience time.Time // end of the wait for another host's outcome; zero before it is met
 	passedOn bool      // the submission was sent to another host before
 	answered bool
 	tries    int
