once: route submissions from the entry host to the writer

Cause: the truth of not_run depends on the entry host: a submission that may have reached the writer must not be submitted again as the first of its key, and a broken connection or a silent writer must end in a tombstone.

Change: Router holds these rules as a pure state machine. The history simulation uses it in place of its own forwarding.

Conclusion: the shell only carries Forward, Reply and Broken.

--- a/once/config.go
+++ b/once/config.go
@@ -23,6 +23,7 @@
 	DownAfter       int           // failed calls in a row after which the platform counts as down
 	DownRetry       time.Duration // time for which submissions are refused before the next probe
 	MinDispatch     time.Duration // time to the deadline below which a record is released, not dispatched
+	RefuseTime      time.Duration // time kept before the deadline for a tombstone if another host does not reply
 	ClaimPoll       time.Duration // time between reads for a resend that meets another host's record
 	ClaimWait       time.Duration // longest wait of such a resend for the outcome
 	OutcomeDelay    time.Duration // longest wait of an outcome for an update it can share
@@ -52,6 +53,7 @@
 		DownAfter:       2,
 		DownRetry:       time.Second,
 		MinDispatch:     10 * time.Millisecond,
+		RefuseTime:      200 * time.Millisecond,
 		ClaimPoll:       100 * time.Millisecond,
 		ClaimWait:       time.Second,
 		OutcomeDelay:    500 * time.Millisecond,
--- a/once/doc.go
+++ b/once/doc.go
@@ -17,6 +17,9 @@
 //     was the first of its key and was dropped before a record could be written.
 //   - A claimed record whose writer is gone stays claimed until it expires.
 //
+// Router is the entry host's part: it passes a submission on to the writer of
+// its journal and refuses it by a tombstone if that connection breaks.
+//
 // Machine is a pure state machine. It asks for reads, updates and dispatches by
 // returning Actions and is told their results. It has no clock, and its random
 // source is passed in.
--- a/once/history_test.go
+++ b/once/history_test.go
@@ -153,82 +153,54 @@
 	c.s.after(wait, c.submit)
 }
 
-// enter is the entry host: it submits to its own machine or passes the
-// submission on to the writer, and refuses it when that connection breaks.
+// enter is the entry host, whose view of the live hosts may be wrong.
 func (s *sim) enter(e *simHost, sub once.Submission, life time.Duration, tell func(once.Outcome)) {
 	s.on(e, s.upTo(3*time.Millisecond), func(now time.Time) []once.Action {
 		s.ids++
 		sub.ID = fmt.Sprint(s.ids)
 		sub.Deadline = now.Add(life)
-		w := s.writer(e, sub.Key)
-		if w == e {
-			e.answer[sub.Key] = tell // for lostIsNotRun
-			return e.submit(now, sub, e.m.Submit, s.truthful(sub.Key, tell))
+		var live []string
+		for _, h := range s.hosts {
+			if h == e || !s.chance(40) {
+				live = append(live, fmt.Sprint(h.index))
+			}
 		}
-		s.forward(e, w, sub, life, tell)
-		return nil
+		e.answer[sub.Key] = tell // for lostIsNotRun
+		e.expect(now, sub, s.truthful(sub.Key, tell))
+		return e.router.Submit(now, sub, live)
 	})
 }
 
-// writer returns the writer of the key's journal by this host's view of the
-// live hosts, which may be wrong.
-func (s *sim) writer(e *simHost, key string) *simHost {
-	if s.chance(30) {
-		return e
-	}
-	var names []string
-	for _, h := range s.hosts {
-		if !s.chance(20) {
-			names = append(names, fmt.Sprint(h.index))
-		}
-	}
-	name := once.Writer(once.JournalOf(key, s.cfg.Journals), names)
-	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return fmt.Sprint(h.index) == name })
-	if i < 0 {
-		return e
-	}
-	return s.hosts[i]
-}
-
 // forward passes a submission on. The connection may break before or after the
 // writer gets it, and the writer may get it long after the break was noticed.
-func (s *sim) forward(e, w *simHost, sub once.Submission, life time.Duration, tell func(once.Outcome)) {
-	connected := true
-	local := sub
-	local.ID += "/refuse"
+func (s *sim) forward(e *simHost, now time.Time, a once.Forward) {
+	sub := a.Submission
+	life := sub.Deadline.Sub(now)
 	broken := func(now time.Time) []once.Action {
-		if !connected {
-			return nil
-		}
-		connected = false
-		if s.rule == noTombstone {
+		if tell := e.answer[sub.ID]; s.rule == noTombstone && tell != nil {
 			tell(once.Outcome{Run: once.RunNotRun})
-			return nil
 		}
-		return e.submit(now, local, e.m.Refuse, s.truthful(sub.Key, tell))
+		return e.router.Broken(now, sub.ID)
 	}
+	s.on(e, a.Until.Sub(now), broken)
 	delivery := s.upTo(5 * time.Millisecond)
 	if s.chance(25) {
 		s.on(e, s.upTo(40*time.Millisecond), broken)
 		delivery = s.upTo(time.Second)
-	} else {
-		s.on(e, life*7/10, broken)
 	}
 	if s.chance(10) {
 		return // lost on the way
 	}
+	i := slices.IndexFunc(s.hosts, func(h *simHost) bool { return fmt.Sprint(h.index) == a.To })
+	w := s.hosts[i]
 	s.on(w, delivery, func(now time.Time) []once.Action {
 		sub.Deadline = now.Add(life)
-		reply := s.truthful(sub.Key, func(out once.Outcome) {
+		w.expect(now, sub, s.truthful(sub.Key, func(out once.Outcome) {
 			s.on(e, s.upTo(5*time.Millisecond), func(time.Time) []once.Action {
-				if connected {
-					connected = false
-					tell(out)
-				}
-				return nil
+				return e.router.Reply(sub.ID, out)
 			})
-		})
-		return w.submit(now, sub, w.m.Submit, reply)
+		}))
+		return w.m.Submit(now, sub)
 	})
 }
 
@@ -261,7 +233,7 @@
 	s.disturb(160 * time.Second)
 	s.run()
 	for _, h := range s.hosts {
-		if at, ok := h.m.Next(); ok || h.m.InFlight() != 0 || len(h.open) != 0 || s.seq >= mostEvents {
+		if at, ok := h.m.Next(); ok || h.m.InFlight()+h.router.InFlight() != 0 || len(h.open) != 0 || s.seq >= mostEvents {
 			s.fault("host %d has %d in flight, next %s, open %v", h.index, h.m.InFlight(), at, h.open)
 		}
 	}
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -75,6 +75,7 @@
 	index  int
 	gen    int
 	m      *once.Machine
+	router *once.Router
 	skew   time.Duration
 	frozen time.Time
 	tick   time.Time // next scheduled Tick, by the host's clock
@@ -96,6 +97,8 @@
 	s.cfg.UpdateInterval = s.upTo(30 * time.Millisecond)
 	s.cfg.OutcomeDelay = s.upTo(500 * time.Millisecond)
 	s.cfg.MaxResultBytes = 4 + s.rng.IntN(12)
+	s.cfg.ClaimPoll = 10*time.Millisecond + s.upTo(100*time.Millisecond)
+	s.cfg.ClaimWait = s.upTo(500 * time.Millisecond)
 	s.cfg.MaxTries = 2 + s.rng.IntN(6)
 	if s.chance(20) { // journals that get full
 		s.cfg.MaxJournalBytes = 300 + s.rng.IntN(1000)
@@ -131,7 +134,7 @@
 
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
-	e := event{at: s.now.Add(d), seq: s.seq, run: run}
+	e := event{at: s.now.Add(max(d, 0)), seq: s.seq, run: run}
 	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int { return b.compare(a) })
 	s.queue = slices.Insert(s.queue, i, e) // latest first
 }
@@ -155,6 +158,7 @@
 		panic(err)
 	}
 	h.m = m
+	h.router = once.NewRouter(m, fmt.Sprint(h.index))
 	h.tick = time.Time{}
 	h.answer = map[string]func(once.Outcome){}
 	h.open = map[string]time.Time{}
@@ -208,14 +212,13 @@
 	}
 }
 
-// submit hands a submission, or the refusal of one, to a host's machine.
-func (h *simHost) submit(now time.Time, sub once.Submission, to func(time.Time, once.Submission) []once.Action, tell func(once.Outcome)) []once.Action {
+// expect notes a submission that the host is about to take.
+func (h *simHost) expect(now time.Time, sub once.Submission, tell func(once.Outcome)) {
 	h.answer[sub.ID] = tell
 	h.open[sub.ID] = sub.Deadline
 	if sub.Deadline.Before(now) {
 		h.open[sub.ID] = now
 	}
-	return to(now, sub)
 }
 
 func (h *simHost) freeze(until time.Time) {
@@ -244,7 +247,7 @@
 func (s *sim) perform(h *simHost, acts []once.Action) {
 	for _, a := range acts {
 		pause := time.Duration(0)
-		if s.chance(5) {
+		if _, timed := a.(once.Forward); !timed && s.chance(5) {
 			pause = s.upTo(2 * time.Second)
 		}
 		s.on(h, pause, func(now time.Time) []once.Action {
@@ -255,6 +258,8 @@
 				return s.write(h, now, a)
 			case once.Dispatch:
 				s.dispatch(h, now, a)
+			case once.Forward:
+				s.forward(h, now, a)
 			case once.Answer:
 				if tell := h.answer[a.Submission.ID]; tell != nil {
 					tell(a.Outcome)
