once, drain: report counters and journals, and write outcomes before a stop

Cause: status and metrics need the state of the journals and of blocked upstreams, and a host that stops must not lose outcomes that wait for an update to share.

Conclusion: the shell needs no state of its own for these.

--- a/drain/example_test.go
+++ b/drain/example_test.go
@@ -37,5 +37,5 @@
 	// [{leaving}]
 	// [{}]
 	// []
-	// [{stopped} {0}]
+	// [{stopped} {0 0}]
 }
--- a/drain/gate.go
+++ b/drain/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -306,6 +307,26 @@
 	return Closed
 }
 
+// Blocked is a replica that gets no new work, or none from entry hosts.
+type Blocked struct {
+	Replica    string
+	DataCentre string
+	Permission Permission
+	Reason     Reason
+}
+
+// Blocked lists the replicas that are not Allowed, in order, for status.
+func (g *Gate) Blocked(now time.Time) []Blocked {
+	var list []Blocked
+	for id, r := range g.replicas {
+		if p, reason := g.May(now, id); p != Allowed {
+			list = append(list, Blocked{Replica: id, DataCentre: r.DataCentre, Permission: p, Reason: reason})
+		}
+	}
+	slices.SortFunc(list, func(a, b Blocked) int { return strings.Compare(a.Replica, b.Replica) })
+	return list
+}
+
 // Share returns the share of its normal load that a data centre gets now: 0
 // while it is out, rising by steps after its return, else 1.
 func (g *Gate) Share(now time.Time, dataCentre string) float64 {
--- a/drain/host.go
+++ b/drain/host.go
@@ -32,8 +32,11 @@
 	// of an upstream.
 	OwnerWork
 	// RecordWork is a non-idempotent request that this host records for an
-	// entry host, or an outcome that is still to be written.
+	// entry host.
 	RecordWork
+	// OutcomeWork is an outcome of such a request that is still to be written.
+	// It delays a stop, but nobody waits for it, so it can't be cut off.
+	OutcomeWork
 	workKinds
 )
 
@@ -48,8 +51,9 @@
 // shell reports the end by SharesReleased.
 type ReleaseShares struct{}
 
-// Exit asks to end the process. CutOff requests were still in flight.
-type Exit struct{ CutOff int }
+// Exit asks to end the process. CutOff requests were still in flight, and
+// Unwritten outcomes are lost; resends of their keys get may_have_run.
+type Exit struct{ CutOff, Unwritten int }
 
 func (Announce) action()      {}
 func (ReleaseShares) action() {}
@@ -133,6 +137,9 @@
 }
 
 func (h *Host) fits(now time.Time, w Work) bool {
+	if w == OutcomeWork {
+		return true
+	}
 	if w == OwnerWork && (h.releasing || !now.Before(h.stopAt.Add(h.cfg.PeerLag))) {
 		return false
 	}
@@ -153,7 +160,7 @@
 	return h.Tick(now)
 }
 
-// InFlight returns the number of requests in flight.
+// InFlight returns the number of requests in flight and of unwritten outcomes.
 func (h *Host) InFlight() int {
 	n := 0
 	for _, w := range h.work {
@@ -178,8 +185,8 @@
 	idle := h.released && h.InFlight() == 0 && !now.Before(h.stopAt.Add(h.cfg.BalancerLag))
 	if idle || !now.Before(h.stopAt.Add(h.cfg.Grace)) {
 		h.phase = Stopped
-		h.cutOff = h.InFlight()
-		acts = append(acts, Announce{Phase: Stopped}, Exit{CutOff: h.cutOff})
+		h.cutOff = h.InFlight() - h.work[OutcomeWork]
+		acts = append(acts, Announce{Phase: Stopped}, Exit{CutOff: h.cutOff, Unwritten: h.work[OutcomeWork]})
 	}
 	return acts
 }
--- a/once/attempt.go
+++ b/once/attempt.go
@@ -26,6 +26,7 @@
 		m.release(now, j, a, 0)
 		return nil
 	}
+	m.stats.Dispatches++
 	return []Action{Dispatch{Submission: o.sub, Attempt: o.attempt}}
 }
 
--- a/once/entry.go
+++ b/once/entry.go
@@ -126,6 +126,9 @@
 	claimed int // entries in StateClaimed, whose outcome still needs room
 }
 
+// size returns the size of the encoded value.
+func (c *contents) size() int { return len(journalHeader) + 1 + c.bytes }
+
 func newContents() *contents {
 	return &contents{index: make(map[string]*stored)}
 }
@@ -175,7 +178,7 @@
 
 // encode returns the value of the journal object.
 func (c *contents) encode() []byte {
-	b := make([]byte, 0, c.bytes+len(journalHeader)+1)
+	b := make([]byte, 0, c.size())
 	b = append(b, journalHeader...)
 	b = append(b, '\n')
 	for _, s := range c.order {
--- a/once/journal.go
+++ b/once/journal.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// idle reports that nothing is on its way or waits.
+func (j *journal) idle() bool {
+	return len(j.queue) == 0 && len(j.unsettled) == 0 && j.flight == nil && !j.reading
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -93,7 +98,7 @@
 	}
 	j.usedAt = now
 	if !j.known {
-		return j.read()
+		return m.read(j)
 	}
 	return m.compose(now, j)
 }
@@ -106,7 +111,8 @@
 	})
 }
 
-func (j *journal) read() []Action {
+func (m *Machine) read(j *journal) []Action {
+	m.stats.Reads++
 	j.reading = true
 	j.ask()
 	return []Action{Read{Journal: j.index}}
@@ -161,7 +167,7 @@
 	}
 	if read {
 		j.known = false
-		return append(acts, j.read()...)
+		return append(acts, m.read(j)...)
 	}
 	return acts
 }
--- a/once/machine.go
+++ b/once/machine.go
@@ -23,6 +23,7 @@
 	pending  int                 // operations that still need an answer
 	failures int                 // failed platform calls in a row
 	down     time.Time           // submissions are refused until then
+	stats    Stats
 }
 
 // New returns a Machine. The host text must be unique for each start of a
@@ -159,17 +160,13 @@
 	return next, found
 }
 
-// InFlight returns the number of submissions without an answer and of records
-// whose outcome is not yet written. A host may stop once it is 0.
-func (m *Machine) InFlight() int {
-	n := m.pending
-	for _, a := range m.attempts {
-		if a.op.answered {
-			n++
-		}
-	}
-	return n
-}
+// InFlight returns the number of submissions without an answer.
+func (m *Machine) InFlight() int { return m.pending }
+
+// Unwritten returns the number of records of this host whose outcome is not yet
+// in the journal. A host that stops before it is 0 leaves them claimed, and
+// resends of their keys get RunMayHaveRun.
+func (m *Machine) Unwritten() int { return len(m.attempts) }
 
 // Down reports whether submissions are refused because the platform can't be
 // reached, and until when.
@@ -179,8 +176,7 @@
 
 // dropCache frees a cached journal that this host no longer writes.
 func (m *Machine) dropCache(now time.Time, j *journal) {
-	idle := len(j.queue) == 0 && j.flight == nil && !j.reading && len(j.unsettled) == 0
-	if j.known && idle && now.Sub(j.usedAt) > m.cfg.CacheTime {
+	if j.known && j.idle() && now.Sub(j.usedAt) > m.cfg.CacheTime {
 		j.known = false
 		j.contents = nil
 	}
--- a/once/place.go
+++ b/once/place.go
@@ -18,7 +18,7 @@
 // room reports whether an entry of this operation fits below the limit.
 func (m *Machine) room(c *contents, o *op, limit int) bool {
 	size := entryOverhead + len(o.key.Text) + len(o.attempt) + len(o.digest)
-	return c.bytes+len(journalHeader)+1+outcomeReserve*(c.claimed+1)+size <= limit
+	return c.size()+outcomeReserve*(c.claimed+1)+size <= limit
 }
 
 // placeClaim records a submission.
@@ -117,7 +117,7 @@
 	if len(body) > m.cfg.MaxResultBytes || json.Compact(&compact, body) != nil {
 		return nil, digest(string(body))
 	}
-	used := c.bytes + compact.Len() + outcomeReserve*c.claimed
+	used := c.size() + compact.Len() + outcomeReserve*c.claimed
 	if used > m.cfg.MaxJournalBytes-m.cfg.ClaimReserve {
 		return nil, digest(string(body))
 	}
--- a/once/settle.go
+++ b/once/settle.go
@@ -98,6 +98,7 @@
 	case err == nil:
 		acts = m.written(now, j, b, o.Version)
 	case errors.Is(err, platform.ErrConflict):
+		m.stats.Conflicts++
 		m.reached(j)
 		j.rejected(b)
 		j.delay(now, m.jitter(j))
@@ -108,6 +109,7 @@
 		j.rejected(b)
 		acts = m.failed(now, j, err)
 	default:
+		m.stats.Lost++
 		j.lost(b)
 		acts = m.failed(now, j, err)
 	}
@@ -117,6 +119,8 @@
 // written handles an update that took effect. It also settles the updates whose
 // answer was lost: they had the same base and can't take effect any more.
 func (m *Machine) written(now time.Time, j *journal, b *batch, version uint64) []Action {
+	m.stats.Updates++
+	m.stats.Records += uint64(len(b.ops))
 	m.reached(j)
 	j.version = version
 	j.answeredCall()
@@ -176,6 +180,7 @@
 // failed notes a failed call. After several in a row the platform counts as
 // down, and what waits to be recorded is refused instead of held to its deadline.
 func (m *Machine) failed(now time.Time, j *journal, err error) []Action {
+	m.stats.Failures++
 	j.known = false
 	j.delay(now, m.jitter(j))
 	if errors.Is(err, platform.ErrBudget) {
