--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -1,6 +1,7 @@
 package once_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -36,13 +37,6 @@
 	run func()
 }
 
-func (e event) compare(o event) int {
-	if c := e.at.Compare(o.at); c != 0 {
-		return c
-	}
-	return e.seq - o.seq
-}
-
 // sim is several machines, a store, an upstream and callers in virtual time.
 type sim struct {
 	rng     *rand.Rand
@@ -55,10 +49,8 @@
 	hosts   []*simHost
 	store   map[int]platform.Object
 	outage  time.Time // the store refuses calls until then
-	runs    map[string]int
 	history []porcupine.Operation
 	told    map[once.Run]int
-	reasons map[once.Reason]int
 	claims  map[string]bool // attempts whose claim took effect
 	faults  []string        // broken promises of a machine to its shell
 }
@@ -75,6 +67,7 @@
 	index  int
 	gen    int
 	m      *once.Machine
+	router *once.Router
 	skew   time.Duration
 	frozen time.Time
 	tick   time.Time // next scheduled Tick, by the host's clock
@@ -88,14 +81,15 @@
 func newSim(seed uint64, r rule, tune func(*once.Config)) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), rule: r, now: epoch, cfg: once.DefaultConfig(),
-		store: map[int]platform.Object{}, runs: map[string]int{},
-		told: map[once.Run]int{}, reasons: map[once.Reason]int{}, claims: map[string]bool{},
+		store: map[int]platform.Object{}, told: map[once.Run]int{}, claims: map[string]bool{},
 	}
 	s.cfg.Journals = 2
 	s.cfg.MaxBatch = 4
 	s.cfg.UpdateInterval = s.upTo(30 * time.Millisecond)
 	s.cfg.OutcomeDelay = s.upTo(500 * time.Millisecond)
 	s.cfg.MaxResultBytes = 4 + s.rng.IntN(12)
+	s.cfg.ClaimPoll = 10*time.Millisecond + s.upTo(100*time.Millisecond)
+	s.cfg.ClaimWait = s.upTo(500 * time.Millisecond)
 	s.cfg.MaxTries = 2 + s.rng.IntN(6)
 	if s.chance(20) { // journals that get full
 		s.cfg.MaxJournalBytes = 300 + s.rng.IntN(1000)
@@ -131,8 +125,10 @@
 
 func (s *sim) after(d time.Duration, run func()) {
 	s.seq++
-	e := event{at: s.now.Add(d), seq: s.seq, run: run}
-	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int { return b.compare(a) })
+	e := event{at: s.now.Add(max(d, 0)), seq: s.seq, run: run}
+	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int {
+		return cmp.Or(b.at.Compare(a.at), b.seq-a.seq)
+	})
 	s.queue = slices.Insert(s.queue, i, e) // latest first
 }
 
@@ -155,6 +151,7 @@
 		panic(err)
 	}
 	h.m = m
+	h.router = once.NewRouter(m, fmt.Sprint(h.index))
 	h.tick = time.Time{}
 	h.answer = map[string]func(once.Outcome){}
 	h.open = map[string]time.Time{}
@@ -208,14 +205,13 @@
 	}
 }
 
-// submit hands a submission, or the refusal of one, to a host's machine.
-func (h *simHost) submit(now time.Time, sub once.Submission, to func(time.Time, once.Submission) []once.Action, tell func(once.Outcome)) []once.Action {
+// expect notes a submission that the host is about to take.
+func (h *simHost) expect(now time.Time, sub once.Submission, tell func(once.Outcome)) {
 	h.answer[sub.ID] = tell
 	h.open[sub.ID] = sub.Deadline
 	if sub.Deadline.Before(now) {
 		h.open[sub.ID] = now
 	}
-	return to(now, sub)
 }
 
 func (h *simHost) freeze(until time.Time) {
@@ -244,7 +240,7 @@
 func (s *sim) perform(h *simHost, acts []once.Action) {
 	for _, a := range acts {
 		pause := time.Duration(0)
-		if s.chance(5) {
+		if _, timed := a.(once.Forward); !timed && s.chance(5) {
 			pause = s.upTo(2 * time.Second)
 		}
 		s.on(h, pause, func(now time.Time) []once.Action {
@@ -255,6 +251,8 @@
 				return s.write(h, now, a)
 			case once.Dispatch:
 				s.dispatch(h, now, a)
+			case once.Forward:
+				s.forward(h, now, a)
 			case once.Answer:
 				if tell := h.answer[a.Submission.ID]; tell != nil {
 					tell(a.Outcome)
@@ -393,7 +391,6 @@
 }
 
 func (s *sim) upstream(key string) json.RawMessage {
-	s.runs[key]++
 	body := strconv.Itoa(s.rng.IntN(1 << 30))
 	s.record(key, step{kind: stepRun, result: body})
 	return json.RawMessage(body)
@@ -416,6 +413,8 @@
 		case 5:
 			h.freeze(s.now.Add(s.upTo(200 * time.Second)))
 		case 6:
+			s.on(h, 0, h.m.Flush)
+		case 7:
 			s.outage = s.now.Add(s.upTo(3 * time.Second))
 		}
 		s.disturb(limit)
