cli: accept -base 0 for the first configuration

Cause: -base 0 counted as not given, so that a new system could not get its first version by the tool (found by walking through the README's commands).

--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -94,8 +94,8 @@
 			author := fs.String("author", "", "`name` recorded in the history")
 			wait := fs.Duration("wait", 0, "wait this long until every host has it in force")
 			return func(ctx context.Context, env *environment, args []string) error {
-				if *base == 0 || *file == "" {
-					return usageError("-base and -f are required")
+				if !given(fs, "base") || *file == "" {
+					return usageError("-base and -f are required; -base 0 makes the first version")
 				}
 				if err := requireArgs(args); err != nil {
 					return err
@@ -110,6 +110,13 @@
 		}}
 }
 
+// given reports whether a flag was set on the command line.
+func given(fs *flag.FlagSet, name string) bool {
+	found := false
+	fs.Visit(func(f *flag.Flag) { found = found || f.Name == name })
+	return found
+}
+
 func sendPatch(ctx context.Context, env *environment, p api.PatchRequest, wait time.Duration) error {
 	if p.ID == "" {
 		p.ID = uuid.NewString()
