Refuse patches on which the patch library panics

Cause: the library dereferences a nil pointer when a JSON Patch tests an array at the root against null, so that one submitted patch could end a daemon. It also takes null for an empty JSON Patch.

Change: a panic of the library is an ErrPatch, and a JSON Patch that is not an array is refused.

Test: go test -race ./configuration passes; two new cases of refused patches.

--- a/configuration/editor_test.go
+++ b/configuration/editor_test.go
@@ -109,6 +109,8 @@
 		{JSONPatch, `[{"op":"replace","path":"/nowhere/0","value":true}]`, ErrPatch},
 		{JSONPatch, `[{"op":"replace","path":"/units","path":"/contracts","value":[]}]`, ErrPatch},
 		{JSONPatch, `{"units":[]}`, ErrPatch},
+		{JSONPatch, `null`, ErrPatch},
+		{JSONPatch, `[{"op":"add","path":"","value":[]},{"op":"test","path":"","value":null}]`, ErrPatch},
 		{JSONPatch, `[{"op":"replace"`, ErrPatch},
 		{JSONPatch, `[{"op":"replace","path":"/groups/0/services/0/replicas/0/slots","value":0}]`, ErrRange},
 		{JSONPatch, `[{"op":"remove","path":"/groups/0"}]`, ErrUnknownName},
--- a/configuration/patch.go
+++ b/configuration/patch.go
@@ -88,12 +88,22 @@
 	return formatDigest(xxhash.Sum64(body.Bytes()))
 }
 
-// applyBody applies a patch to a JSON document.
-func applyBody(t PatchType, document, body []byte) ([]byte, error) {
+// applyBody applies a patch to a JSON document. The patch library panics on
+// some patches, such as a test of an array against null, which must not end the
+// process.
+func applyBody(t PatchType, document, body []byte) (patched []byte, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			patched, err = nil, errors.Wrapf(ErrPatch, "the patch library failed: %v", r)
+		}
+	}()
 	if t == MergePatch {
-		patched, err := jsonpatch.MergePatch(document, body)
+		patched, err = jsonpatch.MergePatch(document, body)
 		return patched, patchError(err)
 	}
+	if firstByte(body) != '[' {
+		return nil, errors.Wrap(ErrPatch, "a JSON Patch is an array of operations")
+	}
 	patch, err := jsonpatch.DecodePatch(body)
 	if err != nil {
 		return nil, patchError(err)
@@ -101,7 +111,7 @@
 	options := jsonpatch.NewApplyOptions()
 	options.SupportNegativeIndices = false // not in RFC 6902
 	options.AccumulatedCopySizeLimit = maxCopyBytes
-	patched, err := patch.ApplyWithOptions(document, options)
+	patched, err = patch.ApplyWithOptions(document, options)
 	return patched, patchError(err)
 }
 
