query: end a query at once when its minimum cannot be reached

Cause: under overload, a query that lost a part kept its other sub-requests in the owners' queues until the deadline, in vain.

Change: when a sub-request fails for good, the machine compares the coverage that can still be reached with the minimum, and refuses at once if it is lower; the parts in flight are reported as abandoned. A shed sub-request is given up when the budget is empty, and is not tried again before the owner's RetryAfter.

--- a/query/action.go
+++ b/query/action.go
@@ -120,6 +120,9 @@
 type Failure struct {
 	Reason Reason
 	Held   []uint64 // snapshots held, with ReasonSnapshot
+	// RetryAfter is the shortest time until the same replica may be asked
+	// again; 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // FailureOf converts an error of package upstream. The snapshots held come
--- a/query/coverage.go
+++ b/query/coverage.go
@@ -3,6 +3,7 @@
 import (
 	"math/big"
 	"math/bits"
+	"slices"
 	"sort"
 
 	"github.com/marigoldlever/marigoldlever/upstream"
@@ -103,6 +104,28 @@
 	return m.coverageReached().Cmp(m.minimum) >= 0
 }
 
+// hopeless reports whether the minimum can no longer be reached. Such a query
+// ends at once, so that its other sub-requests do not take slots in vain.
+func (m *Machine) hopeless() bool {
+	if !m.lost || m.discovering || m.minimum.Sign() == 0 {
+		return false
+	}
+	m.lost = false
+	sum := new(big.Rat)
+	for g := range m.groups {
+		ranges := slices.Clone(m.groups[g].merged.ranges)
+		for i := range m.tasks {
+			if t := &m.tasks[i]; t.group == g && (t.state == waiting || t.state == inFlight) {
+				ranges = append(ranges, t.rng)
+			}
+		}
+		sum.Add(sum, upstream.Share(wholeSpace, ranges))
+	}
+	sum.Quo(sum, big.NewRat(int64(len(m.groups)), 1))
+	m.abandoned = sum.Cmp(m.minimum) < 0
+	return m.abandoned
+}
+
 // groupCoverage states the coverage of a group and a reason for each gap.
 func (m *Machine) groupCoverage(g int) GroupCoverage {
 	group := &m.groups[g]
@@ -134,7 +157,10 @@
 }
 
 func (m *Machine) missingReason(t *task) Reason {
-	if t.state == inFlight || t.reason == "" {
+	switch {
+	case m.abandoned && t.state != failed:
+		return ReasonAbandoned
+	case t.state == inFlight || t.reason == "":
 		return ReasonTimedOut
 	}
 	return t.reason
--- a/query/machine.go
+++ b/query/machine.go
@@ -39,6 +39,7 @@
 	tried   uint64        // bit set of replicas asked for this snapshot
 	due     time.Duration // time of the hedge or retry; never if none
 	reason  Reason        // of the last failure
+	after   time.Duration // RetryAfter of the last failure
 	probe   *upstream.Reply
 	prober  int // replica that sent probe
 }
@@ -112,6 +113,8 @@
 	finished    bool
 	open        int           // tasks in states waiting and inFlight
 	due         time.Duration // lower bound of the tasks' due times
+	abandoned   bool          // ended because the minimum cannot be reached
+	lost        bool          // a task failed since hopeless was evaluated
 	counts      Counts
 	out         []Action
 	sends       []Send // room for the sends of a batch
@@ -331,6 +334,7 @@
 		m.open++
 	}
 	t.state = s
+	m.lost = m.lost || s == failed
 	if s != waiting && s != inFlight {
 		t.due = never
 	}
@@ -354,7 +358,7 @@
 }
 
 func (m *Machine) mayFinish(at time.Duration) bool {
-	if at >= m.finishBy || m.open == 0 {
+	if at >= m.finishBy || m.open == 0 || m.hopeless() {
 		return true
 	}
 	if at < m.goal {
--- a/query/plan.go
+++ b/query/plan.go
@@ -41,6 +41,9 @@
 	ReasonSnapshot Reason = "snapshot"
 	// ReasonBroken means that connections failed or replies were damaged.
 	ReasonBroken Reason = "broken"
+	// ReasonAbandoned means that the part was not waited for, because the
+	// query could no longer reach its minimum coverage.
+	ReasonAbandoned Reason = "abandoned"
 )
 
 // maxReplicas is the number of replicas of a service that are considered; the
--- a/query/send.go
+++ b/query/send.go
@@ -124,6 +124,7 @@
 	s := &m.services[a.service]
 	rep := &s.replicas[a.replica]
 	t.reason = f.Reason
+	t.after = f.RetryAfter
 	switch f.Reason {
 	case ReasonSnapshot:
 		rep.held = append([]uint64{}, f.Held...)
@@ -166,13 +167,24 @@
 		return
 	}
 	if !m.budget.Take() {
-		m.setDue(t, at+tuning.RetryInterval)
+		m.noBudget(t, at)
 		return
 	}
 	m.counts.Retries++
 	m.send(now, i, r, false, true)
 }
 
+// noBudget puts a retry off until the budget may have recovered. A request that
+// was shed is given up: shed requests without budget are a sign of overload, and
+// its query would only hold work that cannot become an answer.
+func (m *Machine) noBudget(t *task, at time.Duration) {
+	if t.reason == ReasonShed {
+		m.setState(t, failed)
+		return
+	}
+	m.setDue(t, at+m.plan.Tuning.RetryInterval)
+}
+
 // noReplicaLeft puts a task off if a replica may recover or a repartition may
 // follow, and ends it otherwise.
 func (m *Machine) noReplicaLeft(t *task, at time.Duration) {
@@ -184,7 +196,12 @@
 	switch t.reason {
 	case ReasonShed, ReasonBroken, ReasonTimedOut:
 		t.tried = 0
-		m.setDue(t, at+m.plan.Tuning.RetryInterval<<t.tries)
+		due := at + max(t.after, m.plan.Tuning.RetryInterval<<t.tries)
+		if due >= m.replyBy {
+			m.setState(t, failed)
+			return
+		}
+		m.setDue(t, due)
 	case ReasonMoved:
 		m.setDue(t, never) // Repartition sends it
 	default:
