query: hedge at the quantile 0.975 and require 400 samples for it

Cause: with 100 samples and 1 straggler in 100, the hedge quantile was often a straggler's latency, so that the first queries of a host were not hedged in time.

Change: 400 samples are needed; until then the fixed delay applies. The default quantile is 0.975 instead of 0.98.

--- a/query/plan.go
+++ b/query/plan.go
@@ -152,7 +152,7 @@
 	return Tuning{
 		Selection:     TwoChoices,
 		Hedging:       HedgeQuantile,
-		HedgeQuantile: 0.98,
+		HedgeQuantile: 0.975,
 		HedgeDelay:    20 * time.Millisecond,
 		FinishMargin:  5 * time.Millisecond,
 		AttemptMargin: 2 * time.Millisecond,
--- a/query/stats.go
+++ b/query/stats.go
@@ -21,8 +21,9 @@
 	// hedge quantile.
 	quantileEvery = 100
 	// quantileMinimum is the number of samples below which no quantile is
-	// given.
-	quantileMinimum = 100
+	// given. With 1 straggler in 100, the quantile 0.975 of 100 samples is that
+	// of a straggler too often; of 400 it is the tenth from above.
+	quantileMinimum = 400
 	// meanWeight is the weight of a new sample in a replica's mean latency.
 	meanWeight = 0.1
 	// meanAge is the time after which a replica's mean latency is forgotten,
