--- a/query/plan.go
+++ b/query/plan.go
@@ -41,6 +41,9 @@
 	ReasonSnapshot Reason = "snapshot"
 	// ReasonBroken means that connections failed or replies were damaged.
 	ReasonBroken Reason = "broken"
+	// ReasonAbandoned means that the part was not waited for, because the
+	// query could no longer reach its minimum coverage.
+	ReasonAbandoned Reason = "abandoned"
 )
 
 // maxReplicas is the number of replicas of a service that are considered; the
@@ -149,7 +152,7 @@
 	return Tuning{
 		Selection:     TwoChoices,
 		Hedging:       HedgeQuantile,
-		HedgeQuantile: 0.98,
+		HedgeQuantile: 0.975,
 		HedgeDelay:    20 * time.Millisecond,
 		FinishMargin:  5 * time.Millisecond,
 		AttemptMargin: 2 * time.Millisecond,
