--- a/once/doc.go
+++ b/once/doc.go
@@ -16,6 +16,15 @@
 //     cause a dispatch: a tombstone stands in the journal, or the submission
 //     was the first of its key and was dropped before a record could be written.
 //   - A claimed record whose writer is gone stays claimed until it expires.
+//   - A tombstone is written and believed only for keys within the maximum age.
+//     The record of an older key may have been removed by a host whose clock is
+//     fast, so that its absence proves nothing.
+//
+// A caller may number the submissions of a key. It then waits for the answer to
+// a submission, or gives it up, before it sends the next one. The first one can
+// be answered RunNotRun without a tombstone, and a tombstone bars submissions up
+// to its number only, so that a key can be used again after RunNotRun. Without
+// numbers, a key that was answered RunNotRun is spent.
 //
 // Router is the entry host's part: it passes a submission on to the writer of
 // its journal and refuses it by a tombstone if that connection breaks.
