once: keep the simulated history by key

Cause: the history was split by key for the check and again for the report.

Change: the simulation records a history for each key, and the check and the report use it as it is.

Conclusion: the same checks in fewer lines.

--- a/once/history_test.go
+++ b/once/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -12,26 +13,24 @@
 	"github.com/marigoldlever/marigoldlever/once"
 )
 
-type stepKind int
+type stepKind string
 
 const (
-	stepSubmit stepKind = iota // a caller submits the key
-	stepAnswer                 // a caller is told an outcome
-	stepRun                    // the upstream runs the key
+	stepSubmit stepKind = "submit" // a caller submits the key
+	stepAnswer stepKind = "told"   // a caller is told an outcome
+	stepRun    stepKind = "run"    // the upstream runs the key
 )
 
 // step is one event of a key's history.
 type step struct {
-	key     string
 	kind    stepKind
 	outcome once.Outcome
 	result  string
 }
 
 func (s *sim) record(key string, st step) {
-	st.key = key
 	at := s.now.UnixNano()
-	s.history = append(s.history, porcupine.Operation{Input: st, Call: at, Return: at})
+	s.history[key] = append(s.history[key], porcupine.Operation{Input: st, Call: at, Return: at})
 }
 
 // keyState is the state of one key in the model.
@@ -44,22 +43,6 @@
 // model states what callers may be told of a key: it runs at most once, not_run
 // excludes every run that no later submission causes, ran means one run.
 var model = porcupine.Model{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byKey := map[string][]porcupine.Operation{}
-		var keys []string
-		for _, o := range history {
-			key := o.Input.(step).key
-			if byKey[key] == nil {
-				keys = append(keys, key)
-			}
-			byKey[key] = append(byKey[key], o)
-		}
-		var parts [][]porcupine.Operation
-		for _, k := range keys {
-			parts = append(parts, byKey[k])
-		}
-		return parts
-	},
 	Init: func() any { return keyState{} },
 	Step: func(state, input, _ any) (bool, any) {
 		k, st := state.(keyState), input.(step)
@@ -218,9 +201,8 @@
 	}
 }
 
-// simulate runs one seed and returns the simulation and whether its history is
-// in keeping with the model.
-func simulate(seed uint64, r rule, tune func(*once.Config)) (*sim, bool) {
+// simulate runs one seed. Its result is judged by firstBad and faults.
+func simulate(seed uint64, r rule, tune func(*once.Config)) *sim {
 	s := newSim(seed, r, tune)
 	for i := range 30 {
 		start := s.upTo(4 * time.Second)
@@ -237,7 +219,7 @@
 			s.fault("host %d has %d left, next %s, open %v", h.index, left, at, h.open)
 		}
 	}
-	return s, porcupine.CheckOperations(model, s.history)
+	return s
 }
 
 // Guards against a second run of a key and an untrue answer under kills,
@@ -249,9 +231,9 @@
 	}
 	told := map[once.Run]int{}
 	for seed := range seeds {
-		s, ok := simulate(seed, allRules, nil)
-		if !ok || len(s.faults) > 0 {
-			t.Errorf("seed %d: %s, %q", seed, firstBad(s), s.faults)
+		s := simulate(seed, allRules, nil)
+		if bad := s.firstBad(); bad != "" || len(s.faults) > 0 {
+			t.Errorf("seed %d: %s, %q", seed, bad, s.faults)
 		}
 		for k, n := range s.told {
 			told[k] += n
@@ -271,7 +253,7 @@
 func TestMachineProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		between := func(name string, low, high int) int { return rapid.IntRange(low, high).Draw(t, name) }
-		s, ok := simulate(rapid.Uint64().Draw(t, "seed"), allRules, func(c *once.Config) {
+		s := simulate(rapid.Uint64().Draw(t, "seed"), allRules, func(c *once.Config) {
 			c.Journals = between("journals", 1, 4)
 			c.MaxBatch = between("batch", 1, 10)
 			c.MaxPending = between("pending", 1, 10)
@@ -281,8 +263,8 @@
 			c.MaxJournalBytes = between("bytes", 300, 3000)
 			c.MinDispatch = time.Duration(between("milliseconds", 0, 100)) * time.Millisecond
 		})
-		if !ok || len(s.faults) > 0 {
-			t.Fatalf("%s, %q", firstBad(s), s.faults)
+		if bad := s.firstBad(); bad != "" || len(s.faults) > 0 {
+			t.Fatalf("%s, %q", bad, s.faults)
 		}
 	})
 }
@@ -294,13 +276,13 @@
 	for _, r := range broken {
 		t.Run(string(r), func(t *testing.T) {
 			for seed := range uint64(400) {
-				s, ok := simulate(seed, r, func(c *once.Config) {
+				s := simulate(seed, r, func(c *once.Config) {
 					if r == readIsEnough {
 						c.MaxTries = 1 // the answer in question follows a conflict
 					}
 				})
-				if !ok {
-					t.Logf("seed %d: %s", seed, firstBad(s))
+				if bad := s.firstBad(); bad != "" {
+					t.Logf("seed %d: %s", seed, bad)
 					return
 				}
 			}
@@ -309,20 +291,20 @@
 	}
 }
 
-// firstBad describes the history of the first key that breaks the model.
-func firstBad(s *sim) string {
-	for _, part := range model.Partition(s.history) {
-		if porcupine.CheckOperations(model, part) {
+// firstBad describes the history of the first key that breaks the model, or
+// returns "".
+func (s *sim) firstBad() string {
+	for _, key := range slices.Sorted(maps.Keys(s.history)) {
+		if porcupine.CheckOperations(model, s.history[key]) {
 			continue
 		}
-		text := part[0].Input.(step).key
-		names := map[stepKind]string{stepSubmit: "submit", stepAnswer: "told", stepRun: "run"}
-		for _, o := range part {
+		text := key
+		for _, o := range s.history[key] {
 			st := o.Input.(step)
 			at := time.Unix(0, o.Call).Sub(epoch).Round(time.Millisecond)
-			text += fmt.Sprintf("; %s %s %s %s", at, names[st.kind], st.outcome.Run, st.outcome.Reason)
+			text += fmt.Sprintf("; %s %s %s %s", at, st.kind, st.outcome.Run, st.outcome.Reason)
 		}
 		return text
 	}
-	return "no key alone breaks the model"
+	return ""
 }
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -48,8 +48,8 @@
 	queue   []event
 	hosts   []*simHost
 	store   map[int]platform.Object
-	outage  time.Time // the store refuses calls until then
-	history []porcupine.Operation
+	outage  time.Time                        // the store refuses calls until then
+	history map[string][]porcupine.Operation // by key
 	told    map[once.Run]int
 	claims  map[string]bool // attempts whose claim took effect
 	faults  []string        // broken promises of a machine to its shell
@@ -81,7 +81,7 @@
 func newSim(seed uint64, r rule, tune func(*once.Config)) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), rule: r, now: epoch, cfg: once.DefaultConfig(),
-		store: map[int]platform.Object{}, told: map[once.Run]int{}, claims: map[string]bool{},
+		store: map[int]platform.Object{}, told: map[once.Run]int{}, history: map[string][]porcupine.Operation{}, claims: map[string]bool{},
 	}
 	s.cfg.Journals = 2
 	s.cfg.MaxBatch = 4
@@ -208,16 +208,14 @@
 // expect notes a submission that the host is about to take.
 func (h *simHost) expect(now time.Time, sub once.Submission, tell func(once.Outcome)) {
 	h.answer[sub.ID] = tell
-	h.open[sub.ID] = sub.Deadline
-	if sub.Deadline.Before(now) {
-		h.open[sub.ID] = now
-	}
+	h.open[sub.ID] = later(now, sub.Deadline)
 }
 
-func (h *simHost) freeze(until time.Time) {
-	if until.After(h.frozen) {
-		h.frozen = until
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // wake schedules the machine's next Tick, unless an earlier one is scheduled.
@@ -409,9 +407,9 @@
 			h.frozen = time.Time{}
 			s.start(h)
 		case 2, 3, 4:
-			h.freeze(s.now.Add(s.upTo(2 * time.Second)))
+			h.frozen = later(h.frozen, s.now.Add(s.upTo(2*time.Second)))
 		case 5:
-			h.freeze(s.now.Add(s.upTo(200 * time.Second)))
+			h.frozen = later(h.frozen, s.now.Add(s.upTo(200*time.Second)))
 		case 6:
 			s.on(h, 0, h.m.Flush)
 		case 7:
