--- /dev/null
+++ b/internal/trial/history/answers.go
@@ -0,0 +1,111 @@
+package history
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/big"
+
+	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
+	"github.com/marigoldlever/marigoldlever/upstream"
+)
+
+// shareError is the rounding of a stated coverage, which has six digits.
+const shareError = 2e-6
+
+// Answered is a query and the answer that its caller got.
+type Answered struct {
+	Value  string // unique value in the query, which the upstreams echo
+	Answer api.Answer
+	// GroupOf names the group of each service.
+	GroupOf map[string]string
+}
+
+// CheckAnswer checks R1 (one snapshot), R2 (the stated coverage is that of the
+// parts) and R5 (every part answers this query, as a whole).
+func CheckAnswer(a Answered) []Violation {
+	var found []Violation
+	ranges := make(map[string][]upstream.HashRange)
+	for _, part := range a.Answer.Parts {
+		found = append(found, checkPart(a, part)...)
+		group := a.GroupOf[part.Service]
+		ranges[group] = append(ranges[group], part.Partition)
+	}
+	return append(found, checkCoverage(a.Answer, ranges)...)
+}
+
+func checkPart(a Answered, part api.Part) []Violation {
+	var read upstreamstandin.Read
+	if err := json.Unmarshal(part.Records, &read); err != nil {
+		return []Violation{{"R5", fmt.Sprintf("query %s: records of %s are not whole: %v", a.Value, part.Service, err)}}
+	}
+	var found []Violation
+	if read.Snapshot != a.Answer.Snapshot {
+		found = append(found, Violation{"R1", fmt.Sprintf("query %s: answer of snapshot %d has records of %d from %s",
+			a.Value, a.Answer.Snapshot, read.Snapshot, read.Replica)})
+	}
+	if read.Partition != part.Partition {
+		found = append(found, Violation{"R2", fmt.Sprintf("query %s: part %v of %s has the records of %v",
+			a.Value, part.Partition, part.Service, read.Partition)})
+	}
+	if value := ValueOf(read.Request); value != a.Value || read.Service != part.Service {
+		found = append(found, Violation{"R5", fmt.Sprintf("query %s: the part of %s answers query %q of %s",
+			a.Value, part.Service, value, read.Service)})
+	}
+	return found
+}
+
+func checkCoverage(answer api.Answer, ranges map[string][]upstream.HashRange) []Violation {
+	var found []Violation
+	whole := true
+	sum := 0.0
+	for _, g := range answer.Coverage.Groups {
+		if overlap(ranges[g.Group]) {
+			found = append(found, Violation{"R2", fmt.Sprintf("parts of group %s overlap: %v", g.Group, ranges[g.Group])})
+		}
+		share := shareOf(ranges[g.Group])
+		exact, _ := share.Float64()
+		sum += exact
+		if math.Abs(exact-g.Share) > shareError {
+			found = append(found, Violation{"R2", fmt.Sprintf("group %s: stated coverage %v, parts cover %v", g.Group, g.Share, exact)})
+		}
+		complete := share.Cmp(big.NewRat(1, 1)) == 0
+		whole = whole && complete
+		if complete != (len(g.Missing) == 0) {
+			found = append(found, Violation{"R2", fmt.Sprintf("group %s: parts cover %v, missing parts are %+v", g.Group, exact, g.Missing)})
+		}
+	}
+	if answer.Coverage.Complete != whole {
+		found = append(found, Violation{"R2", fmt.Sprintf("complete is %t, but the parts say %t", answer.Coverage.Complete, whole)})
+	}
+	if n := len(answer.Coverage.Groups); n > 0 && math.Abs(sum/float64(n)-answer.Coverage.Share) > shareError {
+		found = append(found, Violation{"R2", fmt.Sprintf("stated coverage %v, parts cover %v", answer.Coverage.Share, sum/float64(n))})
+	}
+	return found
+}
+
+func overlap(ranges []upstream.HashRange) bool {
+	for i, a := range ranges {
+		for _, b := range ranges[:i] {
+			if a.Overlaps(b) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// shareOf returns the share of the hash space in ranges that don't overlap.
+func shareOf(ranges []upstream.HashRange) *big.Rat {
+	space := new(big.Int).Lsh(big.NewInt(1), 64)
+	sum := new(big.Int)
+	for _, r := range ranges {
+		end := new(big.Int).SetUint64(r.End)
+		if r.End == 0 {
+			end = space
+		}
+		sum.Add(sum, new(big.Int).Sub(end, new(big.Int).SetUint64(r.Start)))
+	}
+	return new(big.Rat).SetFrac(sum, space)
+}
--- /dev/null
+++ b/internal/trial/history/keys.go
@@ -0,0 +1,185 @@
+package history
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
+)
+
+// Submission is one sending of a non-idempotent request and what the caller got.
+type Submission struct {
+	Span
+	Key    string
+	Value  string // unique value in the request, which the upstream echoes
+	Number int    // Submission-Number, 0 if not stated
+	Run    api.Run
+	Slip   string // number of the slip, with Run api.Ran
+	Echo   string // value that the result states, with Run api.Ran
+}
+
+// RunsOf returns the runs that the upstreams recorded, by key.
+func RunsOf(records []upstreamstandin.ReplicaRecord) map[string][]upstreamstandin.Run {
+	runs := make(map[string][]upstreamstandin.Run)
+	for _, r := range records {
+		for _, run := range r.Runs {
+			runs[run.Key] = append(runs[run.Key], run)
+		}
+	}
+	return runs
+}
+
+// ReadSlip returns the slip number and the value of a result.
+func ReadSlip(result json.RawMessage) (number, value string) {
+	var slip upstreamstandin.Slip
+	if json.Unmarshal(result, &slip) != nil {
+		return "", ""
+	}
+	return slip.Number, ValueOf(slip.Request)
+}
+
+// Body returns a request that carries a unique value.
+func Body(value string) json.RawMessage {
+	body, err := json.Marshal(map[string]string{"value": value})
+	if err != nil {
+		panic(err) // a map of strings can always be encoded
+	}
+	return body
+}
+
+// ValueOf returns the value that a request of Body carries.
+func ValueOf(body json.RawMessage) string {
+	var request map[string]string
+	if json.Unmarshal(body, &request) != nil {
+		return ""
+	}
+	return request["value"]
+}
+
+// CheckKeys checks R7, at most one run per key, and R6, the truth of ran and
+// not_run. A run that happened after a not_run answer is no violation if the key
+// was submitted again after that answer.
+func CheckKeys(submissions []Submission, runs map[string][]upstreamstandin.Run) []Violation {
+	var found []Violation
+	for key, list := range runs {
+		if len(list) > 1 {
+			found = append(found, Violation{"R7", fmt.Sprintf("key %s ran %d times: %+v", key, len(list), list)})
+		}
+	}
+	byKey := make(map[string][]Submission)
+	for _, s := range submissions {
+		byKey[s.Key] = append(byKey[s.Key], s)
+	}
+	for key, list := range byKey {
+		for _, s := range list {
+			found = append(found, checkOutcome(s, list, runs[key])...)
+		}
+	}
+	return found
+}
+
+func checkOutcome(s Submission, all []Submission, runs []upstreamstandin.Run) []Violation {
+	switch s.Run {
+	case api.Ran:
+		return checkRan(s, runs)
+	case api.NotRun:
+		return checkNotRun(s, all, runs)
+	}
+	return nil
+}
+
+func checkRan(s Submission, runs []upstreamstandin.Run) []Violation {
+	if s.Echo != s.Value {
+		return []Violation{{"R5", fmt.Sprintf("key %s: asked %q, the result is for %q", s.Key, s.Value, s.Echo)}}
+	}
+	for _, run := range runs {
+		if run.Slip == s.Slip {
+			return nil
+		}
+	}
+	return []Violation{{"R6", fmt.Sprintf("key %s: ran with slip %q, but the upstreams recorded %+v", s.Key, s.Slip, runs)}}
+}
+
+func checkNotRun(s Submission, all []Submission, runs []upstreamstandin.Run) []Violation {
+	for _, run := range runs {
+		if !explained(s, all, run.Time) {
+			return []Violation{{"R6", fmt.Sprintf("key %s: not_run was answered at %s, but it ran at %s: %+v",
+				s.Key, s.End.Format(time.RFC3339Nano), run.Time.Format(time.RFC3339Nano), run)}}
+		}
+	}
+	return nil
+}
+
+// explained reports whether a run at the given time may come from a submission
+// that the answer to s says nothing about: one that ended after s was answered.
+func explained(s Submission, all []Submission, run time.Time) bool {
+	for _, other := range all {
+		if other.End.After(s.End) && !other.Start.After(run) && other != s {
+			return true
+		}
+	}
+	return false
+}
+
+// keyState is the linearised state of one key: the slip of its run, "" before.
+type keyState struct {
+	ran  bool
+	slip string
+}
+
+// keyModel is the register of one key: not_run only before the run, and every
+// ran states the same slip.
+func keyModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []interface{} { return []interface{}{keyState{}} },
+		Step: func(state, _, output interface{}) []interface{} {
+			return stepKey(state.(keyState), output.(Submission))
+		},
+	}
+	return model.ToModel()
+}
+
+func stepKey(state keyState, s Submission) []interface{} {
+	switch s.Run {
+	case api.NotRun:
+		if state.ran {
+			return nil
+		}
+		return []interface{}{state}
+	case api.Ran:
+		if state.ran && state.slip != "" && state.slip != s.Slip {
+			return nil
+		}
+		return []interface{}{keyState{true, s.Slip}}
+	default:
+		if state.ran {
+			return []interface{}{state}
+		}
+		return []interface{}{state, keyState{ran: true}}
+	}
+}
+
+// CheckKeyOrder checks with porcupine that the answers to each key can be put in
+// an order that agrees with the times of the calls.
+func CheckKeyOrder(submissions []Submission) []Violation {
+	byKey := make(map[string][]porcupine.Operation)
+	for i, s := range submissions {
+		end := s.End.UnixNano()
+		if s.Run == api.MayHaveRun {
+			// The request may still run after its caller was answered.
+			end = int64(1) << 62
+		}
+		byKey[s.Key] = append(byKey[s.Key], porcupine.Operation{ClientId: i, Call: s.Start.UnixNano(), Output: s, Return: end})
+	}
+	var found []Violation
+	for key, operations := range byKey {
+		if !porcupine.CheckOperations(keyModel(), operations) {
+			found = append(found, Violation{"R7", fmt.Sprintf("answers to key %s contradict each other: %+v", key, operations)})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/trial/history/load.go
@@ -0,0 +1,45 @@
+package history
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
+)
+
+// CheckLoad checks R3: no upstream was sent more than it can bear, cold or warm.
+func CheckLoad(records []upstreamstandin.ReplicaRecord) []Violation {
+	var found []Violation
+	for _, r := range records {
+		report := func(what string, n, limit int64) {
+			if n > limit {
+				found = append(found, Violation{"R3", fmt.Sprintf("replica %s: %s %d, limit %d (longest queue %.1f ms, peak offered %d of %d slots)",
+					r.Replica, what, n, limit, r.LongestQueueMS, r.PeakOffered, r.Slots)})
+			}
+		}
+		report("requests that waited for a slot", r.QueuedLong, 0)
+		report("requests above the capacity while cold", r.OverCapacityCold, 0)
+		report("falls", int64(r.FallOvers), 0)
+		report("refused connections", r.RefusedConnections, 0)
+		if r.Connections > 0 {
+			report("connections", int64(r.PeakConnections), int64(r.Connections))
+		}
+	}
+	return found
+}
+
+// CheckNoWorkAfter checks R4 and R8: no new work arrived later than the bound
+// after the data centre was taken out or the replica began to leave.
+func CheckNoWorkAfter(records []upstreamstandin.ReplicaRecord, bound time.Duration) []Violation {
+	limit := float64(bound) / float64(time.Millisecond)
+	var found []Violation
+	for _, r := range records {
+		if r.AfterOut.LastMS > limit {
+			found = append(found, Violation{"R4", fmt.Sprintf("replica %s got work %.0f ms after its data centre was taken out", r.Replica, r.AfterOut.LastMS)})
+		}
+		if r.AfterLeave.LastMS > limit {
+			found = append(found, Violation{"R8", fmt.Sprintf("replica %s got work %.0f ms after it began to leave", r.Replica, r.AfterLeave.LastMS)})
+		}
+	}
+	return found
+}
