daemon: complete a member view before readers can see it

Cause: publish stored a new member view and filled its map of hosts by id afterwards. The runtime ends the process on such an access, and a reader could miss hosts that are live. Of two concurrent publications the one that lost the swap was dropped as well, so a newer view could wait for the next heartbeat.

Ruled out: a fault of the membership core; its Members and Generation are only called under the stepper's lock.

Change: the map is filled before the view is stored, and a lost swap is tried again.

Conclusion: views are immutable once stored.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -113,22 +113,39 @@
 	return nil, nil
 }
 
-// publish makes a new view if the member table changed.
+// publish makes a new view if the member table changed. A view is complete before
+// it is stored, since readers take no lock.
 func (r *memberRunner) publish() {
-	current := r.members.Load()
-	var next *memberView
+	for {
+		current := r.members.Load()
+		next := r.viewAfter(current.generation)
+		if next == nil {
+			return
+		}
+		if r.members.CompareAndSwap(current, next) {
+			r.changed(next)
+			return
+		}
+		// Another goroutine stored a view meanwhile, perhaps an older one than this.
+	}
+}
+
+// viewAfter returns the view of the member table, or nil if it is still that of
+// the generation.
+func (r *memberRunner) viewAfter(generation uint64) *memberView {
+	var view *memberView
 	r.step.view(func(time.Time) {
-		if g := r.machine.Generation(); g != current.generation {
-			next = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
+		if g := r.machine.Generation(); g != generation {
+			view = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
 		}
 	})
-	if next == nil || !r.members.CompareAndSwap(current, next) {
-		return
+	if view == nil {
+		return nil
 	}
-	for _, m := range next.others {
-		next.byID[m.ID] = m
+	for _, m := range view.others {
+		view.byID[m.ID] = m
 	}
-	r.changed(next)
+	return view
 }
 
 // setHosts takes the platform's host list as addresses to join through.
