once: let the wait after conflicts grow

Cause: every answer of the platform reset the backoff, so the wait after a conflict never grew, and an update that the platform found too large was tried again without a wait.

Change: only an own update ends a row of conflicts; a value that is too large waits like any other failure.

Conclusion: two writers that disagree about the live hosts spread their tries.

--- a/once/journal.go
+++ b/once/journal.go
@@ -20,6 +20,7 @@
 	base      uint64 // base version of those updates
 	notBefore time.Time
 	backoff   time.Duration
+	contended bool // met a conflict since the last own update; the backoff goes on growing
 	usedAt    time.Time
 }
 
--- a/once/place.go
+++ b/once/place.go
@@ -53,8 +53,9 @@
 
 // bury writes a tombstone for a claim that was given up while an update that
 // may carry it is unsettled. The base version is the one for which the age of
-// the key was found acceptable, so the tombstone is as good as any other. If the earlier update took effect instead, the
-// record is found by its attempt id and released.
+// the key was found acceptable, so the tombstone is as good as any other. If the
+// earlier update took effect instead, the record is found by its attempt id and
+// released.
 func (m *Machine) bury(j *journal, o *op) (placement, []Action) {
 	e := j.contents.index[o.key.Text]
 	if e != nil && !replaceable(o, e) || !m.room(j.contents, o, m.cfg.MaxJournalBytes) {
--- a/once/settle.go
+++ b/once/settle.go
@@ -31,7 +31,10 @@
 		j.delay(now, m.jitter(j))
 		return m.refuseQueued(j, ReasonJournalBad, 0)
 	}
-	m.reached(j)
+	m.reached()
+	if !j.contended {
+		j.backoff = 0
+	}
 	j.adopt(o.Version, c)
 	j.answeredCall()
 	acts := m.settle(now, j)
@@ -99,11 +102,13 @@
 		acts = m.written(now, j, b, o.Version)
 	case errors.Is(err, platform.ErrConflict):
 		m.stats.Conflicts++
-		m.reached(j)
+		m.reached()
+		j.contended = true
 		j.rejected(b)
 		j.delay(now, m.jitter(j))
 	case errors.Is(err, platform.ErrTooLarge):
 		j.rejected(b)
+		j.delay(now, m.jitter(j))
 		acts = m.refuseQueued(j, ReasonJournalFull, 0)
 	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget):
 		j.rejected(b)
@@ -121,7 +126,8 @@
 func (m *Machine) written(now time.Time, j *journal, b *batch, version uint64) []Action {
 	m.stats.Updates++
 	m.stats.Records += uint64(len(b.ops))
-	m.reached(j)
+	m.reached()
+	j.contended, j.backoff = false, 0
 	j.version = version
 	j.answeredCall()
 	for _, o := range j.unsettled {
@@ -171,10 +177,9 @@
 }
 
 // reached notes that the platform answered.
-func (m *Machine) reached(j *journal) {
+func (m *Machine) reached() {
 	m.failures = 0
 	m.down = time.Time{}
-	j.backoff = 0
 }
 
 // failed notes a failed call. After several in a row the platform counts as
