--- a/drain/host.go
+++ b/drain/host.go
@@ -48,7 +48,9 @@
 type Announce struct{ Phase Phase }
 
 // ReleaseShares asks to give up this host's shares in the ownership table. The
-// shell reports the end by SharesReleased.
+// shell reports the end by SharesReleased. If the platform can't be reached, it
+// may report it without a release: the shares then move once the host is found
+// dead, and the stop need not last for the whole grace period.
 type ReleaseShares struct{}
 
 // Exit asks to end the process. CutOff requests were still in flight, and
--- a/once/history_test.go
+++ b/once/history_test.go
@@ -216,7 +216,7 @@
 	for _, h := range s.hosts {
 		left := h.m.InFlight() + h.m.Unwritten() + h.router.InFlight()
 		if at, ok := h.m.Next(); ok || left != 0 || len(h.open) != 0 || s.seq >= mostEvents {
-			s.fault("host %d has %d left, next %s, open %v", h.index, left, at, h.open)
+			s.faults = append(s.faults, fmt.Sprintf("host %d has %d left, next %s, open %v", h.index, left, at, h.open))
 		}
 	}
 	return s
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -58,10 +58,6 @@
 // mostEvents bounds a run; a machine that wakes up without need exceeds it.
 const mostEvents = 100000
 
-func (s *sim) fault(format string, args ...any) {
-	s.faults = append(s.faults, fmt.Sprintf(format, args...))
-}
-
 // simHost is one host; a kill replaces its machine and raises gen.
 type simHost struct {
 	index  int
@@ -188,18 +184,18 @@
 	case once.Write:
 		h.calls[a.Journal]++
 		if len(a.Value) > s.cfg.MaxJournalBytes || h.calls[a.Journal] > 1 {
-			s.fault("update of %d bytes, %d calls on their way", len(a.Value), h.calls[a.Journal])
+			s.faults = append(s.faults, fmt.Sprintf("update of %d bytes, %d calls on their way", len(a.Value), h.calls[a.Journal]))
 		}
 	case once.Dispatch:
 		if _, open := h.open[a.Submission.ID]; !open || !s.claims[a.Attempt] {
-			s.fault("attempt %s dispatched twice, without a claim or after its answer", a.Attempt)
+			s.faults = append(s.faults, fmt.Sprintf("attempt %s dispatched twice, without a claim or after its answer", a.Attempt))
 		}
 		delete(s.claims, a.Attempt)
 	case once.Answer:
 		deadline, ok := h.open[a.Submission.ID]
 		thawed := h.frozen.Add(h.skew)
 		if !ok || now.After(deadline) && deadline.After(thawed) {
-			s.fault("submission %s answered twice or after its deadline", a.Submission.ID)
+			s.faults = append(s.faults, fmt.Sprintf("submission %s answered twice or after its deadline", a.Submission.ID))
 		}
 		delete(h.open, a.Submission.ID)
 	}
@@ -252,9 +248,7 @@
 			case once.Forward:
 				s.forward(h, now, a)
 			case once.Answer:
-				if tell := h.answer[a.Submission.ID]; tell != nil {
-					tell(a.Outcome)
-				}
+				h.answer[a.Submission.ID](a.Outcome)
 			}
 			return nil
 		})
@@ -264,22 +258,17 @@
 const callTimeout = 100 * time.Millisecond
 
 func (s *sim) read(h *simHost, a once.Read) {
-	done := func(d time.Duration, o platform.Object, err error) {
-		s.on(h, d, func(now time.Time) []once.Action {
-			h.calls[a.Journal]--
-			return h.m.ReadDone(now, a.Journal, o, err)
-		})
-	}
 	s.after(s.upTo(10*time.Millisecond), func() {
+		o, err, delay := s.store[a.Journal], error(nil), s.upTo(10*time.Millisecond)
 		if s.now.Before(s.outage) || s.chance(5) {
-			done(callTimeout, platform.Object{}, platform.ErrUnavailable)
-			return
-		}
-		o, err := s.store[a.Journal], error(nil)
-		if o.Version == 0 {
+			o, err, delay = platform.Object{}, platform.ErrUnavailable, callTimeout
+		} else if o.Version == 0 {
 			err = platform.ErrNotFound
 		}
-		done(s.upTo(10*time.Millisecond), o, err)
+		s.on(h, delay, func(now time.Time) []once.Action {
+			h.calls[a.Journal]--
+			return h.m.ReadDone(now, a.Journal, o, err)
+		})
 	})
 }
 
@@ -377,9 +366,10 @@
 	late := now.After(a.Submission.Deadline)
 	s.after(s.upTo(20*time.Millisecond), func() {
 		if fate >= 20 && !late {
-			body := s.upstream(a.Submission.Key)
+			body := strconv.Itoa(s.rng.IntN(1 << 30))
+			s.record(a.Submission.Key, step{kind: stepRun, result: body})
 			if fate >= 35 {
-				r = once.DispatchResult{Kind: once.DispatchRan, Body: body}
+				r = once.DispatchResult{Kind: once.DispatchRan, Body: json.RawMessage(body)}
 			}
 		}
 		s.on(h, s.upTo(50*time.Millisecond), func(now time.Time) []once.Action {
@@ -388,12 +378,6 @@
 	})
 }
 
-func (s *sim) upstream(key string) json.RawMessage {
-	body := strconv.Itoa(s.rng.IntN(1 << 30))
-	s.record(key, step{kind: stepRun, result: body})
-	return json.RawMessage(body)
-}
-
 // disturb kills and freezes hosts and takes the store out, until the limit.
 func (s *sim) disturb(limit time.Duration) {
 	s.after(s.upTo(2*time.Second), func() {
