upstreamstandin: count only requests without a free slot as waiting

Cause: the wait for a slot was measured for every request, also for one that took a free slot at once. On a busy machine its goroutine can stand still for more than the 5 ms of overlapGrace, so queued_long rose although no more requests were offered than the replica has slots (seen: queued_long 1, longest 5.1 ms, peak offered 2 of 2 slots).

Change: the wait starts when a request finds no free slot, and only such a request is recorded. This is equally strict: whatever was queued is still measured, from the moment of queueing.

--- a/internal/standin/upstreamstandin/work.go
+++ b/internal/standin/upstreamstandin/work.go
@@ -56,11 +56,11 @@
 	if o, refused := r.refuse(q); refused {
 		return o
 	}
-	place, o := r.enter(life, q.Attempt)
+	place, queuedAt, o := r.enter(life, q.Attempt)
 	if place == nil {
 		return o
 	}
-	if o, ok := r.await(ctx, life, place, q, deadline); !ok {
+	if o, ok := r.await(ctx, life, place, queuedAt, q, deadline); !ok {
 		return o
 	}
 	o, part := r.run(ctx, life, q, deadline)
@@ -129,30 +129,31 @@
 }
 
 // enter takes a slot, or a place in the queue, whose channel is closed when
-// the slot is granted. A nil channel means that the request is shed.
-func (r *replica) enter(life chan struct{}, attempt string) (place chan struct{}, o outcome) {
+// the slot is granted. A nil channel means that the request is shed; queuedAt is
+// zero if the slot was granted at once.
+func (r *replica) enter(life chan struct{}, attempt string) (place chan struct{}, queuedAt time.Time, o outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	if r.ended(life) {
-		return nil, outcome{fate: lost}
+		return nil, queuedAt, outcome{fate: lost}
 	}
 	r.record.offered(r)
 	if r.fallen(now) && r.running > 0 {
-		return nil, r.shed(now, attempt)
+		return nil, queuedAt, r.shed(now, attempt)
 	}
 	place = make(chan struct{})
 	if r.running < r.capacity() {
 		r.grant(place)
-		return place, outcome{}
+		return place, queuedAt, outcome{}
 	}
 	if r.overloaded() {
 		r.fallOver(now)
-		return nil, r.shed(now, attempt)
+		return nil, queuedAt, r.shed(now, attempt)
 	}
 	r.queue = append(r.queue, place)
 	r.record.Queued++
-	return place, outcome{}
+	return place, now, outcome{}
 }
 
 // overloaded counts a request above the capacity and reports whether the
@@ -171,9 +172,14 @@
 	r.record.started(r)
 }
 
-// await waits for the slot. It returns false if the request ends before.
-func (r *replica) await(ctx context.Context, life, place chan struct{}, q upstream.Request, deadline time.Time) (outcome, bool) {
-	defer r.waitedSince(time.Now())
+// await waits for the slot. It returns false if the request ends before. Only a
+// request that found no free slot is recorded as waiting: on a busy machine this
+// goroutine may stand still for longer than overlapGrace with its slot granted.
+func (r *replica) await(ctx context.Context, life, place chan struct{}, queuedAt time.Time, q upstream.Request, deadline time.Time) (outcome, bool) {
+	if queuedAt.IsZero() {
+		return outcome{}, true
+	}
+	defer r.waitedSince(queuedAt)
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
