daemon: be ready only when the ownership tables are known

Cause: a host was ready as soon as it had a configuration. The ownership tables arrive a little later, and without them it knows no owner of any upstream: it refused every query with coverage 0 and every execute request as overloaded. A balancer sends callers to a host that says it is ready.

Ruled out: a fault of the planned stop; the refusals came from the host that had just started again, none from the one that left.

Change: readiness also needs the table of each data centre. A table may not exist or its data centre may be out of reach, so the host waits for one lease at most. A data centre that is added later doesn't make a host unready.

--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -23,10 +23,13 @@
 	dataCentre string
 	live       func(member ownership.Member) bool
 
-	mu     sync.Mutex // guards gate, holder and tables
+	mu     sync.Mutex // guards the fields up to state
 	gate   *drain.Gate
 	holder *ownership.Holder
 	tables map[string]ownership.Table
+	// configuredAt is when the first configuration came into force.
+	configuredAt time.Time
+	routable     bool
 
 	state atomic.Pointer[directoryState]
 	held  sync.Map // replica id to []uint64
@@ -78,6 +81,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.configuredAt.IsZero() {
+		d.configuredAt = now
+	}
 	cold := d.gate.SetConfiguration(now, c)
 	d.state.Store(&directoryState{active: active, tables: d.state.Load().tables})
 	d.changes.Add(1)
@@ -102,6 +108,20 @@
 	d.state.Store(&directoryState{active: d.state.Load().active, tables: tables})
 }
 
+// canRoute reports whether this host knows whom to send requests to: it has the
+// ownership table of each data centre, or waited in vain for one that may not
+// exist or be out of reach. Later data centres don't take that back.
+func (d *directory) canRoute(now time.Time, wait time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.routable || d.configuredAt.IsZero() {
+		return d.routable
+	}
+	d.routable = now.Sub(d.configuredAt) >= wait || !slices.ContainsFunc(d.active().Document.DataCentres,
+		func(c configuration.DataCentre) bool { return d.tables[c.Name].Epoch == 0 })
+	return d.routable
+}
+
 func (d *directory) active() *configuration.Active { return d.state.Load().active }
 
 // withHolder runs f while no other event reaches the holder.
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -298,5 +298,9 @@
 	var ready bool
 	var reason string
 	d.lifecycle.step.view(func(time.Time) { ready, reason = d.lifecycle.host.Ready() })
+	// Without the tables it would refuse every request that it is sent.
+	if ready && !d.directory.canRoute(time.Now(), d.settings.Ownership.Lease) {
+		return false, "the ownership tables are not known yet"
+	}
 	return ready, reason
 }
