--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -32,6 +33,10 @@
 	// readyPoll is the time between two looks at whether hosts are ready.
 	readyPoll = 50 * time.Millisecond
 	anyPort   = loopback + ":0"
+	// firstHostPort and hostPorts are the range of the hosts' ports.
+	firstHostPort = 10_000
+	hostPorts     = 20_000
+	maxPortTries  = 100
 )
 
 // Options describe a trial.
@@ -171,13 +176,19 @@
 	return s, nil
 }
 
-// freeAddresses returns loopback addresses with ports that were free just now.
+// freeAddresses returns loopback addresses with ports that were free just now. The
+// ports are below the range that the system gives to outgoing connections, so that
+// none of those takes the port of a host that is stopped and started again.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", anyPort)
+	for try := 0; len(addresses) < n; try++ {
+		port := firstHostPort + rand.IntN(hostPorts)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port))
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			if try == maxPortTries {
+				return nil, errors.Wrap(err, "find a free port")
+			}
+			continue
 		}
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
--- a/internal/trial/load_test.go
+++ b/internal/trial/load_test.go
@@ -30,7 +30,7 @@
 	// below what the upstreams can serve, so that refusals have other causes.
 	callPause = 5 * time.Millisecond
 	// callTimeout is far above every contract's answer time.
-	callTimeout = 10 * time.Second
+	callTimeout = 5 * time.Second
 	// maxSubmissions bounds how often one key is submitted.
 	maxSubmissions = 4
 )
@@ -63,7 +63,8 @@
 	groupOf     map[string]string
 	submissions history.Log[history.Submission]
 	answers     history.Log[history.Answered]
-	refused     sync.Map // kind of problem to *atomic.Int64
+	refused     sync.Map     // kind of problem to *atomic.Int64
+	broken      atomic.Int64 // calls to a ready host whose connection broke
 	stopping    atomic.Bool
 	wait        sync.WaitGroup
 }
@@ -108,6 +109,11 @@
 	for n := 0; !f.stopping.Load(); n++ {
 		value := fmt.Sprintf("%s-%d", name, n)
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		if !client.Ready(ctx) {
+			cancel()
+			time.Sleep(callPause)
+			continue
+		}
 		answer, err := client.Query(ctx, api.QueryRequest{Contract: searchContract, Request: history.Body(value)})
 		cancel()
 		if err == nil {
@@ -123,8 +129,13 @@
 func (f *traffic) refuse(err error) api.Run {
 	kind, run := "connection", api.MayHaveRun
 	var problem *api.Problem
-	if errors.As(err, &problem) {
+	switch {
+	case errors.As(err, &problem):
 		kind, run = string(problem.Kind), problem.Run
+	case notSent(err):
+		kind, run = "not connected", api.NotRun
+	default:
+		f.broken.Add(1)
 	}
 	count, _ := f.refused.LoadOrStore(kind, new(atomic.Int64))
 	count.(*atomic.Int64).Add(1)
@@ -149,16 +160,26 @@
 func (f *traffic) submit(clients []*api.Client, value string, turn int) {
 	key := once.NewKey(time.Now(), uuid.NewString())
 	for n := range maxSubmissions {
-		client := clients[0]
-		if n > 0 {
-			client = clients[(turn+n)%len(clients)]
-		}
+		client := f.readyOf(clients, n*(turn+1))
 		if f.submitOnce(client, key, value, n+1).Run == api.Ran {
 			return
 		}
 	}
 }
 
+// readyOf returns the first ready client from index on, as a balancer does, or the
+// one at the index if none is.
+func (f *traffic) readyOf(clients []*api.Client, index int) *api.Client {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for i := range clients {
+		if client := clients[(index+i)%len(clients)]; client.Ready(ctx) {
+			return client
+		}
+	}
+	return clients[index%len(clients)]
+}
+
 func (f *traffic) submitOnce(client *api.Client, key, value string, number int) history.Submission {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -169,9 +190,6 @@
 	s.End = time.Now()
 	if err != nil {
 		s.Run = f.refuse(err)
-		if notSent(err) {
-			s.Run = api.NotRun
-		}
 	} else {
 		s.Run = answer.Run
 		s.Slip, s.Echo = history.ReadSlip(answer.Result)
@@ -210,6 +228,12 @@
 	t.Logf("answers %d, submissions %v, runs %d, refusals %v", len(f.answers.Entries()), outcomes, len(runs), refused)
 }
 
+// checkLoad reports what upstreams were sent beyond what they can bear.
+func (f *traffic) checkLoad(t *testing.T) {
+	t.Helper()
+	report(t, history.CheckLoad(f.cluster.Records()))
+}
+
 // maxReported bounds how many violations one test prints.
 const maxReported = 5
 
@@ -236,6 +260,11 @@
 	}
 }
 
+func (f *traffic) awaitAnswers(t *testing.T, n int) {
+	t.Helper()
+	awaitMore(t, "answers", n, func() int { return len(f.answers.Entries()) })
+}
+
 func (f *traffic) awaitSubmissions(t *testing.T, n int) {
 	t.Helper()
 	awaitMore(t, "submissions", n, func() int { return len(f.submissions.Entries()) })
