capacity: hand back tickets that wait longer than expected

Cause: an owner with one slot holds its queue behind a straggler for up to 20 service times, although another replica could serve the tickets at once.

Change: a ticket with HandBack that expects to wait at most two service times is ended with reason busy once it has waited one service time more than expected.

--- a/capacity/config.go
+++ b/capacity/config.go
@@ -80,6 +80,8 @@
 	// ReasonCold means that the upstream is cold and its slots belong to
 	// owners of lower rank.
 	ReasonCold Reason = "cold"
+	// ReasonBusy means that the ticket waited longer than expected.
+	ReasonBusy Reason = "busy"
 	// ReasonDraining means that the upstream is leaving.
 	ReasonDraining Reason = "draining"
 	// ReasonDuplicate means that a ticket with this id is queued or started.
@@ -90,6 +92,9 @@
 type Ticket struct {
 	ID       string
 	Deadline time.Time // of the reply
+	// HandBack means that the sender would rather try another replica than
+	// wait much longer than expected, as behind a straggler.
+	HandBack bool
 }
 
 // Verdict is the kind of a Decision.
--- a/capacity/limiter.go
+++ b/capacity/limiter.go
@@ -33,6 +33,11 @@
 	resumeAt time.Time
 }
 
+// handBackWaits is the longest expected wait, in service times, at which a
+// ticket may be handed back. A longer queue is a sign of load, under which the
+// other replicas would refuse the ticket after other parts were served.
+const handBackWaits = 2
+
 // waitMargin is the factor applied to the expected wait of a ticket before it is
 // compared with the deadline. Tickets that are accepted and then expire cost the
 // work of the other parts of their queries: docs/measurements-policy.md shows
@@ -115,14 +120,18 @@
 	if l.queue.len() >= l.cfg.QueueLength {
 		return Decision{Verdict: Refused, Reason: ReasonQueueFull, RetryAfter: l.wait(now, l.queue.len(), allowed)}
 	}
-	l.queue.insert(place, t)
+	entry := queued{Ticket: t}
+	if wait := l.wait(now, place, allowed); t.HandBack && wait <= handBackWaits*l.speed.serviceTime() {
+		entry.handBackAt = now.Add(wait + l.speed.serviceTime())
+	}
+	l.queue.insert(place, entry)
 	return Decision{Verdict: Queued}
 }
 
 // Cancel removes a queued ticket and reports whether it was queued. A started
 // request is ended by Done.
 func (l *Limiter) Cancel(id string) bool {
-	i := slices.IndexFunc(l.queue.tickets, func(t Ticket) bool { return t.ID == id })
+	i := slices.IndexFunc(l.queue.tickets, func(t queued) bool { return t.ID == id })
 	if i < 0 {
 		return false
 	}
@@ -165,10 +174,13 @@
 	if l.queue.len() == 0 {
 		return time.Time{}, false
 	}
-	next := l.startBy(l.queue.tickets[0])
+	next := l.startBy(l.queue.tickets[0].Ticket)
 	if l.resumeAt.Before(next) && l.paused() && len(l.flight) < l.allowed() {
 		next = l.resumeAt
 	}
+	if at, ok := l.queue.nextHandBack(); ok && at.Before(next) {
+		next = at
+	}
 	return next, true
 }
 
@@ -180,7 +192,7 @@
 
 func (l *Limiter) knows(id string) bool {
 	_, started := l.flight[id]
-	return started || slices.ContainsFunc(l.queue.tickets, func(t Ticket) bool { return t.ID == id })
+	return started || slices.ContainsFunc(l.queue.tickets, func(t queued) bool { return t.ID == id })
 }
 
 // probe reports whether a ticket may start although it would probably miss its
@@ -275,18 +287,39 @@
 		}
 		return c
 	}
+	l.startQueued(now, allowed, &c)
+	l.handBack(now, allowed, &c)
+	return c
+}
+
+// startQueued starts tickets in the order of their deadlines while slots are
+// free, and ends those at the head that cannot be served in time.
+func (l *Limiter) startQueued(now time.Time, allowed int, c *Changes) {
 	for l.queue.len() > 0 {
-		head := l.queue.tickets[0]
+		head := l.queue.tickets[0].Ticket
 		switch {
 		case !now.Before(l.startBy(head)):
-			after := l.wait(now, l.queue.len(), allowed)
-			c.Ended = append(c.Ended, Ended{ID: l.queue.pop().ID, Reason: ReasonTooLate, RetryAfter: after})
+			l.queue.pop()
+			c.Ended = append(c.Ended, Ended{head.ID, ReasonTooLate, l.wait(now, l.queue.len(), allowed)})
 		case l.free(now, allowed):
-			l.start(now, l.queue.pop().ID)
+			l.queue.pop()
+			l.start(now, head.ID)
 			c.Starts = append(c.Starts, Start{ID: head.ID})
 		default:
-			return c
+			return
 		}
 	}
-	return c
+}
+
+// handBack ends the tickets that waited longer than expected and ask for it.
+func (l *Limiter) handBack(now time.Time, allowed int, c *Changes) {
+	for i := 0; i < l.queue.len(); {
+		at := l.queue.tickets[i].handBackAt
+		if at.IsZero() || at.After(now) {
+			i++
+			continue
+		}
+		t := l.queue.remove(i)
+		c.Ended = append(c.Ended, Ended{t.ID, ReasonBusy, l.wait(now, l.queue.len(), allowed)})
+	}
 }
--- a/capacity/limiter_test.go
+++ b/capacity/limiter_test.go
@@ -110,7 +110,7 @@
 
 func (m *model) offer() {
 	m.next++
-	t := Ticket{ID: fmt.Sprint(m.next), Deadline: m.now.Add(m.millis("deadline", 200))}
+	t := Ticket{ID: fmt.Sprint(m.next), Deadline: m.now.Add(m.millis("deadline", 200)), HandBack: m.next%2 == 0}
 	switch m.l.Offer(m.now, t).Verdict {
 	case Started:
 		m.start(t.ID)
