query: give requests that an owner did not send to another replica

Cause: sub-requests queued behind a straggler at their owner spent the hedge budget, which was then missing for the stragglers themselves.

Change: a failure marked Unsent (refused or handed back by the owner before anything reached the upstream) moves the sub-request to another replica, once and without charge, as no upstream gets extra load. Send.HandBack asks the owner for it while another replica is left.

Charging nothing for a redirect is a decision of this package: the budget limits the load on upstreams, which a redirect leaves unchanged.

--- a/query/action.go
+++ b/query/action.go
@@ -36,6 +36,9 @@
 	Deadline   time.Time
 	Hedge      bool // second attempt while the first is in flight
 	Retry      bool // new attempt after a failure
+	// HandBack means that another replica may be asked, so that the owner
+	// should hand the request back rather than let it wait for long.
+	HandBack bool
 }
 
 // Cancel asks for an attempt to be stopped; its reply would be dropped.
@@ -94,6 +97,9 @@
 	// Repeated is the number of sub-requests sent again because the query
 	// moved to another snapshot or a range was divided anew.
 	Repeated int
+	// Redirected is the number of sub-requests that were given to another
+	// replica after an owner had not sent them. They are not paid for.
+	Redirected int
 	// Restarts is the number of moves to another snapshot.
 	Restarts int
 	// Dropped is the number of replies that were late, belonged to another
@@ -123,6 +129,10 @@
 	// RetryAfter is the shortest time until the same replica may be asked
 	// again; 0 if unknown.
 	RetryAfter time.Duration
+	// Unsent means that the owner refused or handed back the request before it
+	// was sent to the upstream. Another replica may then be asked without
+	// adding load to any upstream.
+	Unsent bool
 }
 
 // FailureOf converts an error of package upstream. The snapshots held come
--- a/query/machine.go
+++ b/query/machine.go
@@ -29,19 +29,20 @@
 
 // task is a sub-request: one hash range to be asked from one service.
 type task struct {
-	rng     upstream.HashRange
-	group   int
-	service int // index into Machine.services
-	state   taskState
-	hedged  bool
-	live    int           // attempts in flight
-	tries   int           // attempts made for this snapshot
-	tried   uint64        // bit set of replicas asked for this snapshot
-	due     time.Duration // time of the hedge or retry; never if none
-	reason  Reason        // of the last failure
-	after   time.Duration // RetryAfter of the last failure
-	probe   *upstream.Reply
-	prober  int // replica that sent probe
+	rng        upstream.HashRange
+	group      int
+	service    int // index into Machine.services
+	state      taskState
+	hedged     bool
+	redirected bool          // given to another replica after an owner did not send it
+	live       int           // attempts in flight
+	tries      int           // attempts made for this snapshot
+	tried      uint64        // bit set of replicas asked for this snapshot
+	due        time.Duration // time of the hedge or retry; never if none
+	reason     Reason        // of the last failure
+	after      time.Duration // RetryAfter of the last failure
+	probe      *upstream.Reply
+	prober     int // replica that sent probe
 }
 
 // never is later than any time within a query.
--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -226,7 +226,7 @@
 	}
 	switch w.draw("outcome", 9+w.calm) {
 	case 0:
-		w.failure(delay, s, Failure{Reason: ReasonShed})
+		w.failure(delay, s, Failure{Reason: ReasonShed, Unsent: w.draw("unsent", 2) == 0})
 	case 1:
 		w.failure(delay, s, Failure{Reason: ReasonBroken})
 	case 2:
@@ -288,6 +288,9 @@
 	if limit := testBurst + testShare*float64(c.Primary); extra != c.Hedges+c.Retries || float64(extra) > limit {
 		return fmt.Errorf("%d extra sends, counted %+v, limit %f", extra, c, limit)
 	}
+	if plain := c.Primary + c.Repeated + c.Redirected; plain+extra != len(w.sent) {
+		return fmt.Errorf("%d sends, counted %+v", len(w.sent), c)
+	}
 	return w.checkAnswer()
 }
 
--- a/query/policy_test.go
+++ b/query/policy_test.go
@@ -40,18 +40,19 @@
 	queries int
 	minimum *big.Rat
 
-	begun   int        // index of the latest query
-	rng     *rand.Rand // chooses owners
-	now     time.Time
-	events  events
-	created int // events created
-	entries []*entry
-	owners  map[string]*owner
-	latency []time.Duration
-	primary int
-	extra   int
-	good    int // answers that reach the minimum
-	refused int
+	handBack bool       // owners hand back tickets, which are then redirected
+	begun    int        // index of the latest query
+	rng      *rand.Rand // chooses owners
+	now      time.Time
+	events   events
+	created  int // events created
+	entries  []*entry
+	owners   map[string]*owner
+	latency  []time.Duration
+	primary  int
+	extra    int
+	good     int // answers that reach the minimum
+	refused  int
 }
 
 type entry struct {
@@ -213,7 +214,7 @@
 	o := t.owner(j.send.Replica, t.rng.IntN(trialSlots))
 	j.owner = o
 	o.jobs[j.send.Attempt] = j
-	d := o.limiter.Offer(t.now, capacity.Ticket{ID: j.send.Attempt, Deadline: j.send.Deadline})
+	d := o.limiter.Offer(t.now, capacity.Ticket{ID: j.send.Attempt, Deadline: j.send.Deadline, HandBack: j.send.HandBack && t.handBack})
 	switch d.Verdict {
 	case capacity.Started:
 		t.serve(j)
@@ -246,7 +247,7 @@
 func (t *trial) refuse(j *job, after time.Duration) {
 	j.over = true
 	delete(j.owner.jobs, j.send.Attempt)
-	f := query.Failure{Reason: query.ReasonShed, RetryAfter: after}
+	f := query.Failure{Reason: query.ReasonShed, RetryAfter: after, Unsent: t.handBack}
 	t.after(trialNetwork, func() { t.apply(j.run, j.run.machine.Fail(t.now, j.send.Attempt, f)) })
 }
 
--- a/query/policytable_test.go
+++ b/query/policytable_test.go
@@ -50,8 +50,8 @@
 
 // compare prints a table of the policies and returns the ratio to the oracle and
 // the extra load in percent of the default policy.
-func compare(t *testing.T, sigma, load float64, limited bool) (ratio, extra float64) {
-	t.Logf("| sigma %.1f, load %.0f %%, slots limited %t | p50 ms | p99 ms | to oracle | extra %% |", sigma, 100*load, limited)
+func compare(t *testing.T, sigma, load float64, limited, handBack bool) (ratio, extra float64) {
+	t.Logf("| sigma %.1f, load %.0f %%, slots limited %t, hand back %t | p50 ms | p99 ms | to oracle | extra %% |", sigma, 100*load, limited, handBack)
 	oracle := time.Duration(0)
 	all := policies()
 	if !tables() {
@@ -59,7 +59,7 @@
 	}
 	for _, p := range all {
 		tr := &trial{
-			tuning: p.tuning, oracle: p.oracle, sigma: sigma, limited: limited,
+			tuning: p.tuning, oracle: p.oracle, sigma: sigma, limited: limited, handBack: handBack,
 			rate: trialRate(load, sigma), queries: *trialQueries, minimum: big.NewRat(1, 1),
 		}
 		tr.play()
@@ -77,7 +77,7 @@
 // Guards against a hedging rule that lets stragglers determine the latency or
 // spends more than its budget.
 func TestTailAgainstOracle(t *testing.T) {
-	ratio, extra := compare(t, 0.5, 0.3, false)
+	ratio, extra := compare(t, 0.5, 0.3, false, false)
 	if ratio == 0 || ratio > 1.3 || extra > 3 {
 		t.Fatalf("p99 is %.2f times the oracle's with %.2f %% extra load", ratio, extra)
 	}
@@ -85,10 +85,11 @@
 		return
 	}
 	for _, sigma := range []float64{0.3, 0.4, 0.8} {
-		compare(t, sigma, 0.3, false)
+		compare(t, sigma, 0.3, false, false)
 	}
 	for _, load := range []float64{0.1, 0.3, 0.5} {
-		compare(t, 0.5, load, true)
+		compare(t, 0.5, load, true, false)
+		compare(t, 0.5, load, true, true)
 	}
 }
 
@@ -107,7 +108,7 @@
 		goodput := map[float64]float64{}
 		for _, load := range loads {
 			tr := &trial{
-				tuning: query.DefaultTuning(), sigma: sigma, limited: true,
+				tuning: query.DefaultTuning(), sigma: sigma, limited: true, handBack: true,
 				rate: trialRate(load, sigma), queries: queries, minimum: minimum,
 			}
 			tr.play()
--- a/query/send.go
+++ b/query/send.go
@@ -54,6 +54,7 @@
 	m.emit(Send{
 		Attempt: id, Group: m.groups[t.group].name, Service: s.name, Replica: rep.id, DataCentre: rep.dataCentre,
 		Snapshot: m.snapshot, Partition: t.rng, Deadline: m.start.Add(m.replyBy), Hedge: hedge, Retry: retry,
+		HandBack: !t.redirected && m.usable(t)&^t.tried != 0,
 	})
 }
 
@@ -135,12 +136,36 @@
 		return
 	}
 	m.setState(t, waiting)
+	if f.Unsent && m.redirect(now, a) {
+		return
+	}
 	if f.Reason == ReasonSnapshot && !m.anotherHolds(now, t) && m.restart(now, s) {
 		return
 	}
 	m.retry(now, a.task)
 }
 
+// redirect sends a request that never reached an upstream to another replica,
+// once for each sub-request. It adds no load to upstreams, so it is not paid for.
+// The replica that did not get the request may still get a hedge or retry.
+func (m *Machine) redirect(now time.Time, a *attempt) bool {
+	i, from := a.task, a.replica
+	t := &m.tasks[i]
+	spent := t.redirected || t.tries >= m.plan.Tuning.MaxTries
+	if spent || m.services[t.service].outdated || now.Sub(m.start) >= m.replyBy {
+		return false
+	}
+	r, ok := m.pick(now, t)
+	if !ok {
+		return false
+	}
+	m.counts.Redirected++
+	t.redirected = true
+	m.send(now, i, r, false, false)
+	t.tried &^= 1 << from
+	return true
+}
+
 // anotherHolds reports whether a replica that was not asked yet may hold the
 // snapshot.
 func (m *Machine) anotherHolds(now time.Time, t *task) bool {
