query: divide replaced services after a discovery and honour refusals as out

A refusal because the data centre is out did not stop further requests of the query to that replica.

Change: a task of a replaced service is divided before its first send; ReasonOut marks the replica like ReasonLeaving. The property test draws these failures, and checks that every send is counted once; it found sends after a division counted twice in Repeated, which is fixed.

--- a/query/action.go
+++ b/query/action.go
@@ -124,6 +124,10 @@
 
 // Failure tells how an attempt failed.
 type Failure struct {
+	// Reason is one of ReasonTimedOut, ReasonShed, ReasonLeaving, ReasonOut,
+	// ReasonSnapshot, ReasonMoved, ReasonNoReplica and ReasonBroken. After
+	// ReasonLeaving and ReasonOut the query sends nothing more to the replica;
+	// after ReasonNoReplica it does not ask the same replica again.
 	Reason Reason
 	Held   []uint64 // snapshots held, with ReasonSnapshot
 	// RetryAfter is the shortest time until the same replica may be asked
--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -228,7 +228,7 @@
 	case 0:
 		w.failure(delay, s, Failure{Reason: ReasonShed, Unsent: w.draw("unsent", 2) == 0})
 	case 1:
-		w.failure(delay, s, Failure{Reason: ReasonBroken})
+		w.failure(delay, s, Failure{Reason: []Reason{ReasonBroken, ReasonOut, ReasonLeaving}[w.draw("reason", 3)]})
 	case 2:
 		w.failure(delay, s, Failure{Reason: ReasonMoved})
 	case 3: // lost
--- a/query/send.go
+++ b/query/send.go
@@ -21,6 +21,10 @@
 // sendFirst sends the first attempt of a task for the current snapshot.
 func (m *Machine) sendFirst(now time.Time, i int) {
 	t := &m.tasks[i]
+	if m.services[t.service].outdated {
+		m.divide(now, i)
+		return
+	}
 	r, ok := m.pick(now, t)
 	if !ok || now.Sub(m.start) >= m.replyBy {
 		t.reason = m.whyNoReplica(t)
@@ -129,8 +133,8 @@
 	switch f.Reason {
 	case ReasonSnapshot:
 		rep.held = append([]uint64{}, f.Held...)
-	case ReasonLeaving:
-		rep.unusable = ReasonLeaving
+	case ReasonLeaving, ReasonOut:
+		rep.unusable = f.Reason
 	}
 	if t.live > 0 {
 		return
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -182,9 +182,9 @@
 	for g := range m.groups {
 		m.trim(now, g, nil)
 	}
-	before := len(m.attempts)
+	before, repeated := len(m.attempts), m.counts.Repeated
 	m.sendAll(now)
-	m.counts.Repeated += len(m.attempts) - before
+	m.counts.Repeated = repeated + len(m.attempts) - before
 }
 
 // mergeKept merges a reply of the discovery unless it overlaps another part.
