query: do not take a reply without a partition for the whole space

Cause: the zero hash range is the whole space, so that a reply that lacks its partition would have been merged as full coverage of its group.

Change: a reply that states the whole space is accepted only if the whole space was asked for; otherwise the attempt counts as broken.

Conclusion: such a part is reported as missing instead. A parent partition that spans the whole space is dropped too while it is being divided, which costs coverage but never overstates it.

--- a/query/machine.go
+++ b/query/machine.go
@@ -183,7 +183,7 @@
 		rep.unusable = ReasonLeaving
 	}
 	switch {
-	case !r.Partition.Valid() || r.Snapshot == 0:
+	case !m.states(a, r):
 		m.counts.Dropped++
 		m.attemptFailed(now, a, Failure{Reason: ReasonBroken})
 	case m.discovering:
@@ -197,6 +197,14 @@
 	return m.settle(now)
 }
 
+// states reports whether a reply states its snapshot and partition. The zero
+// range is the whole space, so that a reply without a partition would look
+// like full coverage; it is accepted only where the whole space was asked for.
+func (m *Machine) states(a *attempt, r upstream.Reply) bool {
+	unstated := r.Partition.Whole() && !m.tasks[a.task].rng.Whole()
+	return r.Partition.Valid() && !unstated && r.Snapshot != 0
+}
+
 // Fail reports that an attempt ended without a reply.
 func (m *Machine) Fail(now time.Time, id string, f Failure) []Action {
 	a := m.take(id)
