--- a/query/machine.go
+++ b/query/machine.go
@@ -29,19 +29,20 @@
 
 // task is a sub-request: one hash range to be asked from one service.
 type task struct {
-	rng     upstream.HashRange
-	group   int
-	service int // index into Machine.services
-	state   taskState
-	hedged  bool
-	live    int           // attempts in flight
-	tries   int           // attempts made for this snapshot
-	tried   uint64        // bit set of replicas asked for this snapshot
-	due     time.Duration // time of the hedge or retry; never if none
-	reason  Reason        // of the last failure
-	after   time.Duration // RetryAfter of the last failure
-	probe   *upstream.Reply
-	prober  int // replica that sent probe
+	rng        upstream.HashRange
+	group      int
+	service    int // index into Machine.services
+	state      taskState
+	hedged     bool
+	redirected bool          // given to another replica after an owner did not send it
+	live       int           // attempts in flight
+	tries      int           // attempts made for this snapshot
+	tried      uint64        // bit set of replicas asked for this snapshot
+	due        time.Duration // time of the hedge or retry; never if none
+	reason     Reason        // of the last failure
+	after      time.Duration // RetryAfter of the last failure
+	probe      *upstream.Reply
+	prober     int // replica that sent probe
 }
 
 // never is later than any time within a query.
@@ -182,7 +183,7 @@
 		rep.unusable = ReasonLeaving
 	}
 	switch {
-	case !r.Partition.Valid() || r.Snapshot == 0:
+	case !m.states(a, r):
 		m.counts.Dropped++
 		m.attemptFailed(now, a, Failure{Reason: ReasonBroken})
 	case m.discovering:
@@ -196,6 +197,14 @@
 	return m.settle(now)
 }
 
+// states reports whether a reply states its snapshot and partition. The zero
+// range is the whole space, so that a reply without a partition would look
+// like full coverage; it is accepted only where the whole space was asked for.
+func (m *Machine) states(a *attempt, r upstream.Reply) bool {
+	unstated := r.Partition.Whole() && !m.tasks[a.task].rng.Whole()
+	return r.Partition.Valid() && !unstated && r.Snapshot != 0
+}
+
 // Fail reports that an attempt ended without a reply.
 func (m *Machine) Fail(now time.Time, id string, f Failure) []Action {
 	a := m.take(id)
--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -226,9 +226,9 @@
 	}
 	switch w.draw("outcome", 9+w.calm) {
 	case 0:
-		w.failure(delay, s, Failure{Reason: ReasonShed})
+		w.failure(delay, s, Failure{Reason: ReasonShed, Unsent: w.draw("unsent", 2) == 0})
 	case 1:
-		w.failure(delay, s, Failure{Reason: ReasonBroken})
+		w.failure(delay, s, Failure{Reason: []Reason{ReasonBroken, ReasonOut, ReasonLeaving}[w.draw("reason", 3)]})
 	case 2:
 		w.failure(delay, s, Failure{Reason: ReasonMoved})
 	case 3: // lost
@@ -288,6 +288,9 @@
 	if limit := testBurst + testShare*float64(c.Primary); extra != c.Hedges+c.Retries || float64(extra) > limit {
 		return fmt.Errorf("%d extra sends, counted %+v, limit %f", extra, c, limit)
 	}
+	if plain := c.Primary + c.Repeated + c.Redirected; plain+extra != len(w.sent) {
+		return fmt.Errorf("%d sends, counted %+v", len(w.sent), c)
+	}
 	return w.checkAnswer()
 }
 
