trial: let a restarted process outlive its case and pause two hosts

The restarted host was killed at the end of its case, so the later cases ran with one host fewer. Two hosts are paused one after the other.

--- a/internal/trial/process_linux_test.go
+++ b/internal/trial/process_linux_test.go
@@ -180,6 +180,7 @@
 // longer than its lease, so that others take its slots and journals, and then
 // wakes in the middle of its work.
 func TestProcessKilledOrPaused(t *testing.T) {
+	whole := t // a host that is started again outlives its case
 	p := startProcesses(t, smallLayout("east", "west"), 3)
 	cases := []struct {
 		name string
@@ -188,10 +189,11 @@
 		{"killed", func(t *testing.T, f *traffic) {
 			p.signal(t, "east-1", syscall.SIGKILL)
 			f.awaitSubmissions(t, 200)
-			p.run(t, p.Host("east-1"))
+			p.run(whole, p.Host("east-1"))
 		}},
 		{"paused", func(t *testing.T, f *traffic) {
 			p.pause(t, f, "east-2")
+			p.pause(t, f, "east-3")
 		}},
 		{"paused twice, platform outage at the wake", func(t *testing.T, f *traffic) {
 			p.pause(t, f, "west-1")
