measure: add a command that reports what a daemon costs without load

docs/CAPACITY.md needs slopes against hosts, data centres, replicas and configuration changes. The command starts an embedded system for every combination of its lists and reports processor time, memory, peer traffic, platform calls by kind and the time until a version is in force on all hosts.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,7 +62,7 @@
 func commands() []command {
 	return []command{
 		queryCommand(), executeCommand(), getCommand(), patchCommand(), dataCentreCommand(),
-		statusCommand(), contractCommand(), tryCommand(), loadCommand(),
+		statusCommand(), contractCommand(), tryCommand(), loadCommand(), measureCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,45 @@
+package measure
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/marigoldlever/marigoldlever/peer"
+)
+
+// Guards against calls that are counted under the wrong kind: the page compares
+// them with separate rates for reads and writes.
+func TestKindOf(t *testing.T) {
+	for _, c := range []struct{ method, target, want string }{
+		{http.MethodGet, "/v1/objects/ownership/dc-1", "GET ownership"},
+		{http.MethodGet, "/v1/objects/configuration/current?after=3&wait_ms=100", "WATCH configuration"},
+		{http.MethodPut, "/v1/objects/journal/07", "PUT journal"},
+		{http.MethodGet, "/v1/hosts", "GET hosts"},
+		{http.MethodPut, "/v1/hosts/dc-1-1", "PUT hosts"},
+	} {
+		if got := kindOf(httptest.NewRequest(c.method, c.target, nil)); got != c.want {
+			t.Errorf("%s %s: %q, want %q", c.method, c.target, got, c.want)
+		}
+	}
+}
+
+// Guards against rates that are not divided by hosts and time.
+func TestTrafficIsMeanPerHostAndSecond(t *testing.T) {
+	var r ControlResult
+	r.addTraffic(
+		[]peer.Stats{{SentBytes: 100}, {}},
+		[]peer.Stats{{SentBytes: 300, Notifications: 8, Links: 1}, {SentBytes: 1000, ReceivedBytes: 40, Links: 2}}, 2)
+	if r.SentBytes != 300 || r.MaxSentBytes != 500 || r.ReceivedBytes != 10 || r.NotificationsSent != 2 || r.Links != 1.5 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Guards against a change in the generated layout that the configuration refuses:
+// every run would fail at its start.
+func TestLayoutHasAllReplicas(t *testing.T) {
+	l := ControlOptions{Centres: 3, Hosts: 1, Services: 7, Replicas: 3}.layout()
+	if len(l.DataCentres) != 3 || l.Groups[0].Services*l.Groups[0].Replicas != 21 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -43,6 +43,11 @@
 	Platform           platformstandin.Faults
 	// Settings changes the settings of each host before it starts.
 	Settings func(s *settings.Settings)
+	// PlatformHandler wraps the stand-in platform's handler, to count its calls.
+	PlatformHandler func(http.Handler) http.Handler
+	// BeforeHosts is called once the stand-ins run and before the first daemon is
+	// made, so that the cost of the stand-ins can be told apart.
+	BeforeHosts func()
 }
 
 // Cluster is a running trial.
@@ -77,6 +82,9 @@
 		return nil, err
 	}
 	addresses, err := c.startUpstreams()
+	if err == nil && o.BeforeHosts != nil {
+		o.BeforeHosts()
+	}
 	if err == nil {
 		err = c.startHosts()
 	}
@@ -96,7 +104,11 @@
 		return errors.Wrap(err, "listen for the platform")
 	}
 	c.address = l.Addr().String()
-	c.server = &http.Server{Handler: c.Platform.Handler(), ReadHeaderTimeout: time.Minute}
+	handler := c.Platform.Handler()
+	if c.Options.PlatformHandler != nil {
+		handler = c.Options.PlatformHandler(handler)
+	}
+	c.server = &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.server.Serve(l) }()
 	return nil
 }
--- /dev/null
+++ b/internal/trial/inspect.go
@@ -0,0 +1,21 @@
+package trial
+
+import "github.com/marigoldlever/marigoldlever/peer"
+
+// Traffic returns the counts of the daemon's peer connections; zero if it does not
+// run.
+func (h *Host) Traffic() peer.Stats {
+	if h.daemon == nil {
+		return peer.Stats{}
+	}
+	return h.daemon.Traffic()
+}
+
+// Configuration returns the number of the version in force on the daemon; 0 if
+// there is none or it does not run.
+func (h *Host) Configuration() uint64 {
+	if h.daemon == nil {
+		return 0
+	}
+	return h.daemon.ConfigurationInForce()
+}
