--- a/peer/envelope.go
+++ b/peer/envelope.go
@@ -21,9 +21,11 @@
 	Traceparent string `json:"traceparent,omitempty"`
 	// DeadlineMS is the time left to the caller's deadline; 0 if it has none.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
-	// Exactly one of Body and Packed (gzip) holds the content.
-	Body   json.RawMessage `json:"body,omitempty"`
-	Packed []byte          `json:"packed,omitempty"`
+	// Exactly one of Body and Packed (gzip) holds the encoded content. Body is
+	// JSON in a JSON string: jsonrpc2 decodes the parameters of each message into
+	// maps and encodes them again, which costs more the more values they have.
+	Body   string `json:"body,omitempty"`
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // seal encodes v into an envelope without trace and deadline.
@@ -36,7 +38,7 @@
 		return envelope{}, errors.Wrapf(ErrTooLarge, "%d bytes", len(body))
 	}
 	if len(body) < packAboveBytes {
-		return envelope{Body: body}, nil
+		return envelope{Body: string(body)}, nil
 	}
 	packed, err := pack(body)
 	if err != nil {
@@ -48,7 +50,7 @@
 // open returns the encoded content.
 func (e envelope) open(maxBytes int) (json.RawMessage, error) {
 	if len(e.Packed) == 0 {
-		return e.Body, nil
+		return json.RawMessage(e.Body), nil
 	}
 	return unpack(e.Packed, maxBytes)
 }
@@ -56,7 +58,7 @@
 // size estimates the encoded size of the envelope.
 func (e envelope) size() int {
 	const overheadBytes = 256
-	return overheadBytes + len(e.Body) + len(e.Packed)*4/3
+	return overheadBytes + (len(e.Body)+len(e.Packed))*4/3
 }
 
 func pack(body []byte) ([]byte, error) {
