Keep random contacts for five minutes, and run the trial over sockets

Cause: each random choice of a host costs a connection. With 9 data centres of 40 members a member exchanged messages with 111 others a minute.

Change: the contact in each other data centre, and the random links for news, stay for five minutes unless the host does not answer. The trial command can run the ring over peer nodes on loopback, to measure the cost of all layers.

--- a/membership/machine.go
+++ b/membership/machine.go
@@ -25,6 +25,7 @@
 
 	watched  map[string]*watch // hosts with a heartbeat unanswered or watched now
 	suspects map[string]time.Time
+	contacts map[string]*contact // by data centre
 	sequence uint64
 
 	period   time.Time            // next heartbeats
@@ -59,6 +60,13 @@
 	sent    time.Time // last answer with records
 }
 
+// contact is the host of another data centre that this host talks to.
+type contact struct {
+	id       string
+	until    time.Time
+	answered bool // something came from it since the last heartbeat to it
+}
+
 type repeat struct {
 	id   string
 	left int
@@ -75,6 +83,7 @@
 		groups:   make(map[string]*group),
 		facts:    Facts{Epochs: make(map[string]uint64)},
 		roseAt:   make(map[string]time.Time),
+		contacts: make(map[string]*contact),
 		watched:  make(map[string]*watch),
 		suspects: make(map[string]time.Time),
 	}
@@ -201,7 +210,8 @@
 	for i, id := range targets {
 		out = append(out, m.heartbeat(now, id, i == 0))
 	}
-	if id := m.stranger(); id != "" {
+	if id := m.stranger(now); id != "" {
+		m.contacts[m.members[id].DataCentre].answered = false
 		out = append(out, m.heartbeat(now, id, true))
 	}
 	m.age()
@@ -235,127 +245,6 @@
 	}
 }
 
-// rewatch makes the targets the watched hosts. A host that was not watched in
-// the last period starts with a clean sheet.
-func (m *Machine) rewatch(now time.Time, targets []string) {
-	for _, w := range m.watched {
-		w.current = false
-	}
-	for _, id := range targets {
-		w := m.watched[id]
-		if w == nil {
-			w = &watch{heard: now}
-			m.watched[id] = w
-		}
-		w.current = true
-	}
-	for id, w := range m.watched {
-		if !w.current && (w.answered || m.cfg.Links.Steady()) {
-			delete(m.watched, id)
-		}
-	}
-}
-
-// accuse suspects hosts that were silent too long.
-func (m *Machine) accuse(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(m.watched)) {
-		w := m.watched[id]
-		if w.answered || w.accused || now.Sub(w.heard) < m.cfg.SuspectAfter {
-			continue
-		}
-		w.accused = true
-		s := m.members[id]
-		if s == nil || s.gone() || s.DataCentre != m.self.DataCentre {
-			delete(m.watched, id)
-			continue
-		}
-		if s.Status == Live {
-			accused := s.Member
-			accused.Status = Suspect
-			m.merge(now, accused)
-		}
-	}
-}
-
-// condemn declares hosts dead whose suspicion was not refuted in time.
-func (m *Machine) condemn(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(m.suspects)) {
-		if now.Before(m.suspects[id]) {
-			continue
-		}
-		dead := m.members[id].Member
-		dead.Status = Dead
-		m.merge(now, dead)
-	}
-}
-
-// joins asks one known address that no live member has for all records: at each
-// period while this host is alone, rarely afterwards. The latter unites groups
-// that formed when hosts started at the same time, and finds hosts again that
-// were taken for dead.
-func (m *Machine) joins(now time.Time) []Message {
-	if len(m.members) > 0 && now.Before(m.joinAt) {
-		return nil
-	}
-	m.joinAt = now.Add(m.cfg.Rejoin)
-	missing := make(map[string]bool, len(m.known))
-	for _, address := range m.known {
-		missing[address] = address != m.self.Address
-	}
-	for _, s := range m.members {
-		if !s.gone() {
-			missing[s.Address] = false
-		}
-	}
-	from := slices.DeleteFunc(slices.Clone(m.known), func(a string) bool { return !missing[a] })
-	if len(from) == 0 {
-		return nil
-	}
-	return []Message{m.message(now, Join, from[m.rng.IntN(len(from))], true)}
-}
-
-// heartbeat returns a heartbeat to a host, on request with digests.
-func (m *Machine) heartbeat(now time.Time, id string, digests bool) Message {
-	to := m.members[id]
-	msg := m.message(now, Heartbeat, to.Address, digests)
-	m.sequence++
-	msg.Sequence = m.sequence
-	w := m.watched[id]
-	if w == nil {
-		w = &watch{heard: now}
-		m.watched[id] = w
-	}
-	if w.answered {
-		w.heard = now // the silence counts from the first heartbeat unanswered
-	}
-	w.sequence, w.sentAt, w.answered = m.sequence, now, false
-	for _, r := range m.recent {
-		if len(msg.Updates) < m.cfg.MaxUpdates {
-			msg.Updates = m.appendRecord(msg.Updates, r.id)
-		}
-	}
-	if digests {
-		msg.Digests = m.digests(now)
-	}
-	m.addProof(now, &msg, to.DataCentre)
-	return msg
-}
-
-// stranger returns a random host of a random other data centre.
-func (m *Machine) stranger() string {
-	var centres []string
-	for _, name := range slices.Sorted(maps.Keys(m.rings)) {
-		if name != m.self.DataCentre && len(m.rings[name].ids) > 0 {
-			centres = append(centres, name)
-		}
-	}
-	if len(centres) == 0 {
-		return ""
-	}
-	ids := m.rings[centres[m.rng.IntN(len(centres))]].ids
-	return ids[m.rng.IntN(len(ids))]
-}
-
 // age counts down the repetitions.
 func (m *Machine) age() {
 	for i := range m.recent {
@@ -378,7 +267,7 @@
 		}
 	}
 	targets = append(slices.Clone(targets), accused...)
-	if id := m.stranger(); id != "" && (m.rose || len(m.news) > 0) {
+	if id := m.stranger(now); id != "" && (m.rose || len(m.news) > 0) {
 		targets = append(targets, id)
 	}
 	first := m.news[:min(len(m.news), m.cfg.MaxUpdates)]
--- a/membership/member.go
+++ b/membership/member.go
@@ -177,7 +177,8 @@
 	ProofStep time.Duration
 	// Rejoin is the time between questions to known addresses without member.
 	Rejoin time.Duration
-	// Relink is how long the random links for news are kept.
+	// Relink is how long random choices of hosts are kept: links for news and
+	// contacts in other data centres.
 	Relink time.Duration
 	// Repeat is how many heartbeats to each watched host carry a change again.
 	Repeat int
@@ -197,7 +198,7 @@
 		PushDelay:    20 * time.Millisecond,
 		ProofStep:    400 * time.Millisecond,
 		Rejoin:       5 * time.Second,
-		Relink:       time.Minute,
+		Relink:       5 * time.Minute,
 		Repeat:       2,
 		MaxUpdates:   64,
 		RetainGone:   5 * time.Minute,
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -40,6 +40,9 @@
 	if w := m.watched[msg.From.ID]; w != nil {
 		w.heard, w.accused = now, false
 	}
+	if c := m.contacts[msg.From.DataCentre]; c != nil && c.id == msg.From.ID {
+		c.answered = true
+	}
 	for _, u := range msg.Updates[:min(len(msg.Updates), m.cfg.MaxUpdates)] {
 		m.merge(now, u)
 	}
--- a/membership/trial/main.go
+++ b/membership/trial/main.go
@@ -35,21 +35,20 @@
 	longest := flag.Duration("pause-longest", 1500*time.Millisecond, "longest pause")
 	crashes := flag.Int("crashes", defaultCrash, "crashes and configuration changes to measure")
 	seed := flag.Uint64("seed", 1, "seed of all random choices")
+	sockets := flag.Duration("sockets", 0, "run the ring over loopback sockets in real time for so long instead")
 	flag.Parse()
+	if *sockets > 0 {
+		measureSockets(*seed, *members, *sockets)
+		return
+	}
 	fmt.Println("| links | members | kB/s out per member | messages/s | peers/min | CPU % | joined s | crash known s (mean, max) | suspected | false dead | configuration known s (mean, max) | proof age s (p50, p99, max) |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, name := range strings.Split(*links, ",") {
-		for _, count := range strings.Split(*members, ",") {
-			n, err := strconv.Atoi(count)
-			if err != nil || n < 1 {
-				fmt.Fprintln(os.Stderr, "members: not a number:", count)
-				os.Exit(2)
-			}
-			cfg, ok := variant(name)
-			if !ok {
-				fmt.Fprintln(os.Stderr, "links: no such variant:", name)
-				os.Exit(2)
-			}
+		cfg, ok := variant(name)
+		if !ok {
+			fail("links: no such variant: " + name)
+		}
+		for _, n := range counts(*members) {
 			w := newWorld(*seed, cfg, n, *centres)
 			w.loss, w.pauseEvery, w.pauseLongest = *loss, *pauses, *longest
 			fmt.Println(w.measure(name, *crashes))
@@ -57,6 +56,36 @@
 	}
 }
 
+func measureSockets(seed uint64, members string, length time.Duration) {
+	fmt.Println("| members | kB/s out per member, framed | CPU % per member | connections per member |")
+	fmt.Println("|---|---|---|---|")
+	for _, n := range counts(members) {
+		row, err := overSockets(seed, n, length)
+		if err != nil {
+			fail(err.Error())
+		}
+		fmt.Println(row)
+	}
+}
+
+// counts parses the list of member counts.
+func counts(list string) []int {
+	var all []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 {
+			fail("members: not a number: " + s)
+		}
+		all = append(all, n)
+	}
+	return all
+}
+
+func fail(message string) {
+	fmt.Fprintln(os.Stderr, message)
+	os.Exit(2)
+}
+
 // variant returns the configuration of a variant. All push news to five hosts
 // of the data centre.
 func variant(name string) (membership.Config, bool) {
