query, capacity: shorten the trial model and the queue benchmark

Change: the trial keeps its events in a sorted slice and its jobs in one map; the benchmark of a queue keeps tickets in the order of their deadlines.

--- a/capacity/bench_test.go
+++ b/capacity/bench_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -18,38 +19,27 @@
 	}
 }
 
-// BenchmarkOfferQueuedDone queues a ticket behind 32 others and starts the head
-// of the queue, with the share in use all the time.
+// BenchmarkOfferQueuedDone starts the head of a queue of 32 tickets and queues
+// another one, with the share in use all the time.
 func BenchmarkOfferQueuedDone(b *testing.B) {
-	r := newRig(&testing.T{}, 4, 0, 1)
-	r.l.cfg.QueueLength = 64
+	const queued, slots = 32, 4
+	r := newRig(&testing.T{}, slots, 0, 1)
+	r.l.cfg.QueueLength = 2 * queued
 	r.warm(served)
-	now := r.now
-	var ids [256]string
+	var ids [queued + slots]string // in the order of the deadlines
 	for i := range ids {
-		ids[i] = string([]byte{byte('a' + i/16), byte('a' + i%16)})
-	}
-	started := make([]string, 0, len(ids))
-	offer := func(i int) {
-		id := ids[i%len(ids)]
-		if r.l.Offer(now, Ticket{ID: id, Deadline: now.Add(time.Second)}).Verdict == Started {
-			started = append(started, id)
-		}
-	}
-	const queued = 32
-	for i := range queued + 4 {
-		offer(i)
+		ids[i] = fmt.Sprint("ticket-", i)
+		r.l.Offer(r.now, Ticket{ID: ids[i], Deadline: r.now.Add(time.Second)})
 	}
 	b.ReportAllocs()
-	i := queued + 4
+	i := 0
 	for b.Loop() {
-		now = now.Add(testServiceTime / 4)
-		offer(i)
-		i++
-		id := started[0]
-		started = append(started[:0], started[1:]...)
-		for _, s := range r.l.Done(now, id, served).Starts {
-			started = append(started, s.ID)
+		r.now = r.now.Add(testServiceTime / slots)
+		id := ids[i%len(ids)]
+		if r.l.InFlight() != slots || len(r.l.Done(r.now, id, served).Starts) != 1 {
+			b.Fatal("the queue is not served in order")
 		}
+		r.l.Offer(r.now, Ticket{ID: id, Deadline: r.now.Add(time.Second)})
+		i++
 	}
 }
--- a/query/policy_test.go
+++ b/query/policy_test.go
@@ -1,12 +1,12 @@
 package query_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/big"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/marigoldlever/marigoldlever/capacity"
@@ -44,10 +44,10 @@
 	begun    int        // index of the latest query
 	rng      *rand.Rand // chooses owners
 	now      time.Time
-	events   events
-	created  int // events created
+	events   []timed
 	entries  []*entry
 	owners   map[string]*owner
+	jobs     map[string]*job // in flight, by attempt
 	latency  []time.Duration
 	primary  int
 	extra    int
@@ -63,7 +63,6 @@
 // owner admits requests to one replica.
 type owner struct {
 	limiter *capacity.Limiter
-	jobs    map[string]*job
 	tick    time.Time
 }
 
@@ -72,7 +71,6 @@
 	run   *run
 	send  *query.Send
 	owner *owner
-	at    time.Time // start of the service
 	over  bool
 }
 
@@ -81,33 +79,18 @@
 	machine *query.Machine
 	start   time.Time
 	service map[string]time.Duration // by replica
-	jobs    map[string]*job
 }
 
 type timed struct {
 	at  time.Time
-	n   int
 	run func()
 }
 
-// events is a heap by time, then by order of creation.
-type events []timed
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].n < e[j].n)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(timed)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
+// at adds an event; those of the same time keep their order. The events are kept
+// latest first, since most new ones are early.
 func (t *trial) at(at time.Time, run func()) {
-	t.created++
-	heap.Push(&t.events, timed{at, t.created, run})
+	i := sort.Search(len(t.events), func(i int) bool { return !t.events[i].at.After(at) })
+	t.events = slices.Insert(t.events, i, timed{at, run})
 }
 
 func (t *trial) after(d time.Duration, run func()) { t.at(t.now.Add(d), run) }
@@ -115,28 +98,36 @@
 func (t *trial) play() {
 	t.now = time.Unix(0, 0)
 	t.owners = map[string]*owner{}
+	t.jobs = map[string]*job{}
 	t.rng = rand.New(rand.NewPCG(3, 3))
 	for range trialEntries {
 		t.entries = append(t.entries, &entry{query.NewStats(), query.NewBudget(trialBudget, trialBurst)})
 	}
-	arrivals := rand.New(rand.NewPCG(1, 1))
-	at := t.now
-	for i := range t.queries {
-		at = at.Add(time.Duration(arrivals.ExpFloat64() / t.rate * float64(time.Second)))
-		t.at(at, func() { t.begin(i) })
-	}
+	t.arrive(rand.New(rand.NewPCG(1, 1)), 0)
 	for len(t.events) > 0 {
-		e := heap.Pop(&t.events).(timed)
+		e := t.events[len(t.events)-1]
+		t.events = t.events[:len(t.events)-1]
 		t.now = e.at
 		e.run()
 	}
 }
 
+// arrive schedules the i-th query, which schedules the next one.
+func (t *trial) arrive(rng *rand.Rand, i int) {
+	if i == t.queries {
+		return
+	}
+	t.after(time.Duration(rng.ExpFloat64()/t.rate*float64(time.Second)), func() {
+		t.begin(i)
+		t.arrive(rng, i+1)
+	})
+}
+
 // begin starts the i-th query. Its service times depend only on i and the
 // replica, so that all policies meet the same stragglers.
 func (t *trial) begin(i int) {
 	rng := rand.New(rand.NewPCG(2, uint64(i)))
-	r := &run{start: t.now, service: map[string]time.Duration{}, jobs: map[string]*job{}}
+	r := &run{start: t.now, service: map[string]time.Duration{}}
 	g := query.Group{Name: "g"}
 	for s, partition := range upstream.Split(trialServices) {
 		service := query.Service{Name: fmt.Sprint("s", s), Partition: partition}
@@ -146,10 +137,7 @@
 			r.service[id] = time.Duration(float64(trialMedian) * math.Exp(t.sigma*rng.NormFloat64()))
 			if rng.Float64() < trialShare {
 				r.service[id] = trialStraggler * trialMedian
-				if t.oracle && n == 0 {
-					rep.Unusable = query.ReasonNoReplica
-				}
-				if t.oracle && n == 1 && service.Replicas[0].Unusable == "" {
+				if t.oracle && (n == 0 || service.Replicas[0].Unusable == "") {
 					rep.Unusable = query.ReasonNoReplica
 				}
 			}
@@ -171,10 +159,10 @@
 		switch a := a.(type) {
 		case *query.Send:
 			j := &job{run: r, send: a}
-			r.jobs[a.Attempt] = j
+			t.jobs[a.Attempt] = j
 			t.after(trialNetwork, func() { t.offer(j) })
 		case *query.Cancel:
-			t.after(trialNetwork, func() { t.cancel(r.jobs[a.Attempt]) })
+			t.after(trialNetwork, func() { t.cancel(t.jobs[a.Attempt]) })
 		case *query.Finish:
 			t.finish(r, a)
 		}
@@ -213,7 +201,6 @@
 	}
 	o := t.owner(j.send.Replica, t.rng.IntN(trialSlots))
 	j.owner = o
-	o.jobs[j.send.Attempt] = j
 	d := o.limiter.Offer(t.now, capacity.Ticket{ID: j.send.Attempt, Deadline: j.send.Deadline, HandBack: j.send.HandBack && t.handBack})
 	switch d.Verdict {
 	case capacity.Started:
@@ -239,21 +226,19 @@
 	}
 	l.SetRank(t.now, rank, trialSlots)
 	l.SetShare(t.now, 1)
-	o := &owner{limiter: l, jobs: map[string]*job{}}
+	o := &owner{limiter: l}
 	t.owners[key] = o
 	return o
 }
 
 func (t *trial) refuse(j *job, after time.Duration) {
-	j.over = true
-	delete(j.owner.jobs, j.send.Attempt)
+	t.close(j)
 	f := query.Failure{Reason: query.ReasonShed, RetryAfter: after, Unsent: t.handBack}
 	t.after(trialNetwork, func() { t.apply(j.run, j.run.machine.Fail(t.now, j.send.Attempt, f)) })
 }
 
 // serve runs a sub-request at its replica.
 func (t *trial) serve(j *job) {
-	j.at = t.now
 	t.after(j.run.service[j.send.Replica], func() {
 		if j.over {
 			return
@@ -267,32 +252,35 @@
 }
 
 func (t *trial) cancel(j *job) {
-	if j.over {
+	if j == nil || j.over {
 		return
 	}
 	if j.owner != nil && j.owner.limiter.Cancel(j.send.Attempt) {
-		delete(j.owner.jobs, j.send.Attempt)
-		j.over = true
+		t.close(j)
 		return
 	}
 	t.end(j, capacity.Cancelled)
 }
 
-func (t *trial) end(j *job, result capacity.Result) {
+func (t *trial) close(j *job) {
 	j.over = true
+	delete(t.jobs, j.send.Attempt)
+}
+
+func (t *trial) end(j *job, result capacity.Result) {
+	t.close(j)
 	if j.owner == nil {
 		return
 	}
-	delete(j.owner.jobs, j.send.Attempt)
 	t.changes(j.owner, j.owner.limiter.Done(t.now, j.send.Attempt, capacity.Outcome{Result: result}))
 }
 
 func (t *trial) changes(o *owner, c capacity.Changes) {
 	for _, s := range c.Starts {
-		t.serve(o.jobs[s.ID])
+		t.serve(t.jobs[s.ID])
 	}
 	for _, e := range c.Ended {
-		t.refuse(o.jobs[e.ID], e.RetryAfter)
+		t.refuse(t.jobs[e.ID], e.RetryAfter)
 	}
 	t.schedule(o)
 }
