--- a/query/doc.go
+++ b/query/doc.go
@@ -11,6 +11,10 @@
 // measure of the hash ranges that the merged replies stated, and no two merged
 // ranges overlap.
 //
+// Hedges and retries are paid from the budget. A sub-request that an owner
+// refused or handed back before sending it (Failure.Unsent) is given to another
+// replica once without charge, because no upstream gets more load by it.
+//
 // The package is pure. It reads no clock, starts no goroutine and takes no
 // lock; the random source is passed in. A Machine belongs to one query and its
 // events must be serialised. Stats and Budget are shared by the queries of a
