query: check in the property test that a part answers its own attempt

Cause: removing the comparison of the echoed attempt id passed the property test.

Change: the test's upstreams answer with their attempt id, and every part must come from an attempt that was sent to its replica.

--- a/query/machine_test.go
+++ b/query/machine_test.go
@@ -259,10 +259,29 @@
 }
 
 func (w *world) reply(d time.Duration, s *Send, r upstream.Reply) {
-	r.Records, _ = json.Marshal(r.Snapshot)
+	r.Records, _ = json.Marshal(record{r.Snapshot, r.Attempt})
 	w.after(d, func() []Action { delete(w.live, s.Attempt); return w.m.Reply(w.now, s.Attempt, r) })
 }
 
+// record is what the upstreams of the test answer.
+type record struct {
+	Snapshot uint64
+	Attempt  string
+}
+
+// checkPart requires that a part has the snapshot of the answer and is the reply
+// to an attempt at its replica.
+func (w *world) checkPart(p Part, snapshot uint64) error {
+	var r record
+	if err := json.Unmarshal(p.Records, &r); err != nil || r.Snapshot != snapshot {
+		return fmt.Errorf("part %s in an answer of snapshot %d", p.Records, snapshot)
+	}
+	if !slices.ContainsFunc(w.sent, func(s *Send) bool { return s.Attempt == r.Attempt && s.Replica == p.Replica }) {
+		return fmt.Errorf("part %s of replica %s, which got no such attempt", p.Records, p.Replica)
+	}
+	return nil
+}
+
 // check returns the first violation of an invariant.
 func (w *world) check() error {
 	switch {
@@ -301,8 +320,8 @@
 	}
 	merged := map[string][]upstream.HashRange{}
 	for _, p := range a.Parts {
-		if string(p.Records) != fmt.Sprint(a.Snapshot) {
-			return fmt.Errorf("part of snapshot %s in an answer of %d", p.Records, a.Snapshot)
+		if err := w.checkPart(p, a.Snapshot); err != nil {
+			return err
 		}
 		merged[p.Group] = append(merged[p.Group], p.Partition)
 	}
