configuration: split the stored value into a head and two checkpoints

The head (configuration/current) holds the number, the digest, the place of a checkpoint and the patches since then. Two slots (configuration/checkpoint/0 and /1) hold a whole accepted version each. An editor writes the slot that the head does not name, on a known object version and never over a higher number, before the head that names it. A lost answer is settled by reading the slot.

--- a/configuration/delta.go
+++ b/configuration/delta.go
@@ -39,7 +39,7 @@
 // once per version, when the first peer needs it.
 func (t *Tracker) storedValue() ([]byte, error) {
 	if t.value == nil {
-		value, err := encodeValue(t.held.Version)
+		value, err := new(compressor).encodeValue(t.held.Version)
 		if err != nil {
 			return nil, err
 		}
--- a/configuration/document.go
+++ b/configuration/document.go
@@ -1,12 +1,13 @@
 // Package configuration holds the configuration document, its numbered
 // versions and the patches between them.
 //
-// The current version is one object of the platform, ObjectName. An Editor
-// turns a patch into a conditional update of that object. A Tracker keeps the
-// newest version that a host knows of and never goes back to a lower number; it
-// takes versions from the platform or from a peer that is ahead. Both are pure
-// state machines: events go in with the time at which they happened, and
-// actions come out.
+// The number of the current version and the recent patches are one object of
+// the platform, ObjectName; two more objects hold checkpoints, which are whole
+// versions that the recent patches follow. An Editor turns a patch into a
+// conditional update of ObjectName. A Tracker keeps the newest version that a
+// host knows of and never goes back to a lower number; it takes versions from
+// the platform or from a peer that is ahead. Both are pure state machines:
+// events go in with the time at which they happened, and actions come out.
 //
 // Documents and versions are immutable once made and share the parts that a
 // patch did not change, so a receiver must not change them.
@@ -17,7 +18,9 @@
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
-// ObjectName is the platform object that holds the current version.
+// ObjectName is the platform object whose conditional update accepts a patch.
+// It holds the number and the digest of the current version, the recent patches
+// and the place of the checkpoint that they follow.
 const ObjectName = "configuration/current"
 
 // Bounds on documents and patches.
--- a/configuration/editor.go
+++ b/configuration/editor.go
@@ -21,6 +21,9 @@
 type EditorConfig struct {
 	RetryDelay time.Duration
 	MaxWaiting int
+	// HeadBytes is the size of the stored head from which a patch makes a
+	// checkpoint first.
+	HeadBytes int
 }
 
 // Submission is a patch with the token under which its result is answered.
@@ -34,13 +37,17 @@
 // EditorAction is one of Read, Write and Answer.
 type EditorAction interface{ editorAction() }
 
-// Read asks for ObjectName. The result goes to Editor.ReadDone.
-type Read struct{ Call uint64 }
+// Read asks for an object. The result goes to Editor.ReadDone.
+type Read struct {
+	Call uint64
+	Name string
+}
 
-// Write asks for a conditional update of ObjectName. The result goes to
+// Write asks for a conditional update of an object. The result goes to
 // Editor.WriteDone.
 type Write struct {
 	Call  uint64
+	Name  string
 	Base  uint64 // version of the object, 0 to create it
 	Value []byte
 }
@@ -79,16 +86,21 @@
 	waiting []*submission
 	calls   uint64
 	known   *snapshot // last version read, to decode the next one cheaply
+
+	compressor compressor
 }
 
 // phase is what a submission waits for.
 type phase int
 
 const (
-	queued phase = iota
-	reading
-	writing
-	pausing // waiting for the retry time
+	queued        phase = iota
+	reading             // the head
+	loading             // the checkpoint that the head names
+	checkpointing       // writing a checkpoint to the spare slot
+	probing             // reading the spare slot
+	writing             // the head
+	pausing             // waiting for the retry time
 )
 
 // submission is the progress of one patch.
@@ -97,10 +109,13 @@
 	phase   phase
 	call    uint64
 	retryAt time.Time
-	// written is the result if the write on base takes effect, without the
-	// version of the object.
+	object  platform.Object // the head as it was read
+	head    *head           // its content
+	state   *snapshot       // the version of head
+	next    *snapshot       // the version that the patch leads to
+	// written is the result if the write on object takes effect, without the
+	// new version of the object.
 	written Result
-	base    uint64
 	// uncertain tells that the answer to a write on uncertainBase was lost. It
 	// may still take effect as long as the object has that version.
 	uncertain     bool
@@ -115,6 +130,9 @@
 	if cfg.MaxWaiting <= 0 {
 		cfg.MaxWaiting = DefaultMaxWaiting
 	}
+	if cfg.HeadBytes <= 0 {
+		cfg.HeadBytes = DefaultHeadBytes
+	}
 	return &Editor{cfg: cfg}
 }
 
@@ -152,164 +170,29 @@
 	return actions
 }
 
-// read asks for the object on behalf of s.
-func (e *Editor) read(s *submission) EditorAction {
-	e.calls++
-	s.phase = reading
-	s.call = e.calls
-	return Read{Call: s.call}
-}
-
-// current returns the submission in progress if it waits for the call.
-func (e *Editor) current(call uint64, want phase) *submission {
-	if len(e.waiting) == 0 || e.waiting[0].call != call || e.waiting[0].phase != want {
-		return nil
-	}
-	return e.waiting[0]
-}
-
-// ReadDone takes the result of a Read. An absent object is given as
-// platform.ErrNotFound. Results of calls that were given up are ignored.
-func (e *Editor) ReadDone(now time.Time, call uint64, object platform.Object, err error) []EditorAction {
-	s := e.current(call, reading)
-	if s == nil {
-		return nil
-	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		e.pause(now, s)
-		return nil
-	}
-	if err != nil {
-		object = platform.Object{Name: ObjectName}
-	}
-	return e.evaluate(now, s, object)
-}
+// read asks for the head on behalf of s.
+func (e *Editor) read(s *submission) EditorAction { return e.get(s, reading, ObjectName) }
 
-// evaluate decides on s from the current object. The patch id is looked for
-// before anything else, because an earlier try may have been accepted.
-func (e *Editor) evaluate(now time.Time, s *submission, object platform.Object) []EditorAction {
-	if object.Version > s.uncertainBase {
-		s.uncertain = false // a lost write can no longer take effect
-	}
-	state, err := e.decode(object)
-	if err != nil {
-		return e.answer(now, s, Result{}, err)
-	}
-	if r, found := findRecord(state.Patches, s.Patch.ID); found {
-		return e.answerRecord(now, s, r, object)
-	}
-	if s.Patch.Base != state.Number {
-		return e.answer(now, s, Result{}, staleError(s.Patch, state.Version))
-	}
-	next, value, err := prepare(state, s.Patch)
-	if err != nil {
-		return e.answer(now, s, Result{}, err)
-	}
+// get asks for an object on behalf of s.
+func (e *Editor) get(s *submission, next phase, name string) EditorAction {
 	e.calls++
-	s.phase = writing
-	s.call = e.calls
-	s.base = object.Version
-	s.written = Result{Number: next.Number, Digest: next.Digest, Object: platform.Object{Name: ObjectName, Value: value}}
-	return []EditorAction{Write{Call: s.call, Base: s.base, Value: value}}
+	s.phase, s.call = next, e.calls
+	return Read{Call: s.call, Name: name}
 }
 
-// decode returns the version in an object, or the empty version if the object
-// is absent.
-func (e *Editor) decode(object platform.Object) (*snapshot, error) {
-	if object.Version == 0 {
-		return emptySnapshot(), nil
-	}
-	o, err := openValue(object.Value)
-	if err != nil {
-		return nil, err
-	}
-	state, err := o.snapshot(e.known)
-	if err != nil {
-		return nil, err
-	}
-	e.known = state
-	return state, nil
-}
-
-// prepare applies and validates a new patch and encodes the resulting version.
-func prepare(state *snapshot, p Patch) (*snapshot, []byte, error) {
-	next, err := state.patched(p, submitted)
-	if err != nil {
-		return nil, nil, err
-	}
-	next = state.append(next, p)
-	if _, err := Compile(next.Version); err != nil {
-		return nil, nil, err
-	}
-	value, err := encodeValue(next.Version)
-	return next, value, err
-}
-
-// findRecord returns the record of a patch id.
-func findRecord(records []PatchRecord, id string) (PatchRecord, bool) {
-	for i := len(records) - 1; i >= 0; i-- {
-		if records[i].ID == id {
-			return records[i], true
-		}
-	}
-	return PatchRecord{}, false
-}
-
-// answerRecord answers a submission whose id was accepted already, by this
-// submission or by an earlier one.
-func (e *Editor) answerRecord(now time.Time, s *submission, r PatchRecord, object platform.Object) []EditorAction {
-	if r.Hash != s.Patch.hash() {
-		s.uncertain = false // the object shows whose patch was accepted
-		return e.answer(now, s, Result{}, errors.Wrapf(ErrIDReused, "id %q led to version %d", r.ID, r.Number))
-	}
-	resent := s.written.Number != r.Number
-	result := Result{Number: r.Number, Digest: r.Digest, Resent: resent, Object: object}
-	return e.answer(now, s, result, nil)
-}
-
-// staleError tells what happened since the base of a patch.
-func staleError(p Patch, current Version) error {
-	err := &StaleError{Base: p.Base, Current: current.Number}
-	oldest := current.Number + 1
-	if len(current.Patches) > 0 {
-		oldest = current.Patches[0].Number
-	}
-	covered := p.Base+1 >= oldest
-	err.Complete = covered
-	err.Forgotten = p.Base < current.Number && !covered
-	for _, r := range current.Patches {
-		if r.Number > p.Base {
-			d := Difference{Number: r.Number, ID: r.ID, Author: r.Author, Time: r.Time, Paths: r.Paths()}
-			err.Differences = append(err.Differences, d)
-		}
-	}
-	return err
+// put asks for a conditional update on behalf of s.
+func (e *Editor) put(s *submission, next phase, name string, base uint64, value []byte) EditorAction {
+	e.calls++
+	s.phase, s.call = next, e.calls
+	return Write{Call: s.call, Name: name, Base: base, Value: value}
 }
 
-// WriteDone takes the result of a Write. Results of calls that were given up
-// are ignored.
-func (e *Editor) WriteDone(now time.Time, call uint64, object platform.Object, err error) []EditorAction {
-	s := e.current(call, writing)
-	if s == nil {
-		return nil
-	}
-	switch {
-	case err == nil:
-		result := s.written
-		result.Object.Version = object.Version
-		return e.answer(now, s, result, nil)
-	case errors.Is(err, platform.ErrConflict):
-		return []EditorAction{e.read(s)}
-	case errors.Is(err, platform.ErrTooLarge):
-		return e.answer(now, s, Result{}, tooLarge("stored value", len(s.written.Object.Value), platform.MaxValueBytes))
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget):
-		e.pause(now, s)
+// current returns the submission in progress if it waits for the call.
+func (e *Editor) current(call uint64) *submission {
+	if len(e.waiting) == 0 || e.waiting[0].call != call {
 		return nil
-	default: // ErrUnknownOutcome and any error that does not rule it out
-		s.uncertain = true
-		s.uncertainBase = max(s.uncertainBase, s.base)
-		return []EditorAction{e.read(s)}
 	}
+	return e.waiting[0]
 }
 
 // pause makes s read again after the retry delay.
@@ -338,7 +221,7 @@
 // expire answers a submission whose deadline passed.
 func (e *Editor) expire(s *submission) EditorAction {
 	if s.phase == writing {
-		s.uncertain = true
+		s.uncertain = true // a checkpoint that is still written accepts nothing
 	}
 	return e.finish(s, Result{}, errors.Wrap(ErrUnavailable, "the deadline passed"))
 }
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -125,7 +125,8 @@
 	return next
 }
 
-// follow applies an accepted patch and verifies the resulting digest.
+// follow applies an accepted patch and verifies the resulting digest. The
+// result has no patches; followAll sets them.
 func (s *snapshot) follow(r PatchRecord) (*snapshot, error) {
 	if r.Number != s.Number+1 || r.Base != s.Number {
 		return nil, errors.Wrapf(ErrCorrupt, "patch %d with base %d does not follow version %d", r.Number, r.Base, s.Number)
@@ -138,7 +139,6 @@
 		return nil, errors.Wrapf(ErrCorrupt, "patch %d results in digest %s, want %s", r.Number, next.Digest, r.Digest)
 	}
 	next.Number = r.Number
-	next.Patches = trimRecords(append(slices.Clone(s.Patches), r))
 	return next, nil
 }
 
--- a/configuration/tracker.go
+++ b/configuration/tracker.go
@@ -27,7 +27,7 @@
 	FetchRetry   time.Duration
 }
 
-// TrackerAction is one of Fetch, InForce and Watch.
+// TrackerAction is one of Fetch, ReadCheckpoint, InForce and Watch.
 type TrackerAction interface{ trackerAction() }
 
 // Fetch asks a peer for what it has beyond version Have. The result goes to
@@ -42,6 +42,13 @@
 	Whole bool
 }
 
+// ReadCheckpoint asks for an object of the platform. The result goes to
+// Tracker.CheckpointRead.
+type ReadCheckpoint struct {
+	Call uint64
+	Name string
+}
+
 // InForce reports that a version has replaced the one before on this host.
 type InForce struct{ Active *Active }
 
@@ -52,9 +59,10 @@
 	After uint64
 }
 
-func (Fetch) trackerAction()   {}
-func (InForce) trackerAction() {}
-func (Watch) trackerAction()   {}
+func (Fetch) trackerAction()          {}
+func (ReadCheckpoint) trackerAction() {}
+func (InForce) trackerAction()        {}
+func (Watch) trackerAction()          {}
 
 // Tracker keeps the newest version that this host knows of. The number never
 // decreases.
@@ -65,6 +73,7 @@
 	value  []byte // stored value of held, nil until it is needed
 	object uint64 // version of the newest object taken from the platform
 	watch  bool
+	load   *checkpointLoad
 
 	ahead   map[string]*aheadPeer
 	fetch   *fetchCall
@@ -125,30 +134,43 @@
 // the platform, after which a watch continues.
 func (t *Tracker) ObjectVersion() uint64 { return t.object }
 
-// Platform takes the object as it was read, watched or written. After an error
+// Platform takes ObjectName as it was read, watched or written. After an error
 // ObjectVersion is unchanged, so that a watch returns the object again; the
 // shell has to pause before that.
 func (t *Tracker) Platform(now time.Time, object platform.Object) ([]TrackerAction, error) {
 	if object.Version == 0 {
 		return nil, nil
 	}
-	opened, err := openValue(object.Value)
+	h, err := openHead(object)
 	if err != nil {
 		return nil, err
 	}
-	actions, err := t.take(now, opened, object.Value)
+	actions, err := t.takeHead(now, h)
 	if err == nil {
 		t.object = max(t.object, object.Version)
 	}
 	return actions, err
 }
 
-// take adopts an opened value if its number is higher than the one held.
-func (t *Tracker) take(now time.Time, opened *openedValue, value []byte) ([]TrackerAction, error) {
-	if opened.Number < t.held.Number {
-		return nil, nil
+// takeHead adopts the version of a head if its number is higher than the one
+// held. It asks for the checkpoint if the patches do not lead there.
+func (t *Tracker) takeHead(now time.Time, h *head) ([]TrackerAction, error) {
+	if h.Number <= t.held.Number {
+		return nil, t.compare(h.Number, h.Digest)
+	}
+	next, err := h.snapshot(t.held)
+	if err != nil {
+		return nil, err
+	}
+	if next == nil {
+		return t.loadFor(h), nil
 	}
-	if opened.Number == t.held.Number {
+	return t.adopt(now, next, nil)
+}
+
+// take adopts a whole version if its number is higher than the one held.
+func (t *Tracker) take(now time.Time, opened *openedValue, value []byte) ([]TrackerAction, error) {
+	if opened.Number <= t.held.Number {
 		return nil, t.compare(opened.Number, opened.Digest)
 	}
 	next, err := opened.snapshot(t.held)
@@ -173,6 +195,9 @@
 		return nil, errors.Mark(errors.Wrapf(err, "version %d", next.Number), ErrCorrupt)
 	}
 	t.held, t.active, t.value = next, active, value
+	if t.load != nil && t.load.head.Number <= next.Number {
+		t.load = nil
+	}
 	for name, p := range t.ahead {
 		p.failed = false
 		if p.number <= next.Number {
@@ -314,8 +339,13 @@
 	return t.proceed(now, nil)
 }
 
-// Tick handles a timeout or a new round that is due. Call it at Next.
+// Tick handles timeouts and retries that are due. Call it at Next.
 func (t *Tracker) Tick(now time.Time) []TrackerAction {
+	return append(t.retryLoad(now), t.tickFetch(now)...)
+}
+
+// tickFetch handles a timeout or a new round that is due.
+func (t *Tracker) tickFetch(now time.Time) []TrackerAction {
 	if t.fetch != nil && !now.Before(t.fetch.expires) {
 		peer := t.fetch.Peer
 		t.fetch = nil
@@ -333,8 +363,12 @@
 
 // Next returns the time of the next Tick.
 func (t *Tracker) Next() (time.Time, bool) {
+	next := t.retryAt
 	if t.fetch != nil {
-		return t.fetch.expires, true
+		next = t.fetch.expires
+	}
+	if l := t.load; l != nil && !l.retryAt.IsZero() && (next.IsZero() || l.retryAt.Before(next)) {
+		next = l.retryAt
 	}
-	return t.retryAt, !t.retryAt.IsZero()
+	return next, !next.IsZero()
 }
--- a/configuration/value.go
+++ b/configuration/value.go
@@ -5,20 +5,22 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/platform"
 )
 
-// The stored value is a gzip stream of two members: a head, which holds the
-// number and the recent patches, and the document. A host that already holds a
-// recent version reads the head alone and applies the patches that it lacks.
+// The value of a whole version, in a checkpoint or from a peer, is a gzip stream
+// of two members: a header, which holds the number and the recent patches, and
+// the document. A host that already holds a recent version reads the header
+// alone and applies the patches that it lacks.
 
-// valueFormat is the format of the stored value.
+// valueFormat is the format of the value of a whole version.
 const valueFormat = 1
 
-// Bounds on the recent patches in the stored value.
+// Bounds on the recent patches of a whole version.
 const (
 	// maxRecords is the largest number of records kept. At 7,500 patches a
 	// day it covers more than three hours, which is far beyond the time in
@@ -28,12 +30,12 @@
 	// each of them; a record without a body makes peers send whole versions.
 	maxBodyBytes = 128 << 10
 	maxBody      = 32 << 10
-	// maxHeadBytes bounds what is read of a head.
-	maxHeadBytes = 4 << 20
+	// maxHeaderBytes bounds what is read of a header.
+	maxHeaderBytes = 4 << 20
 )
 
-// head is the first part of the stored value.
-type head struct {
+// header is the first part of the value of a whole version.
+type header struct {
 	Format  int           `json:"format"`
 	Number  uint64        `json:"number"`
 	Digest  string        `json:"digest"`
@@ -65,16 +67,15 @@
 	}
 }
 
-// encodeValue returns the stored value of a version. It drops old records if
+// encodeValue returns the value of a whole version. It drops old records if
 // the value would otherwise be too large for the platform.
-func encodeValue(v Version) ([]byte, error) {
-	c := &compressor{}
+func (c *compressor) encodeValue(v Version) ([]byte, error) {
 	document, err := c.compress(canonical(v.Document))
 	if err != nil {
 		return nil, err
 	}
 	for records := v.Patches; ; records = records[(len(records)+1)/2:] {
-		data, err := c.compress(canonical(head{valueFormat, v.Number, v.Digest, records}))
+		data, err := c.compress(canonical(header{valueFormat, v.Number, v.Digest, records}))
 		if err != nil {
 			return nil, err
 		}
@@ -88,6 +89,17 @@
 	}
 }
 
+// checkSize returns an error if the value of a version would be too large. A
+// document that fits without compression leaves room for the last record, so
+// that nothing has to be compressed.
+func (c *compressor) checkSize(v Version) error {
+	if len(canonical(v.Document)) <= platform.MaxValueBytes/2 {
+		return nil
+	}
+	_, err := c.encodeValue(v)
+	return err
+}
+
 // compressor makes gzip members. It keeps the writer, because the tables of a
 // new one are larger than most documents. At the target size the default level
 // makes the document 16 % smaller than the fastest level.
@@ -111,13 +123,13 @@
 	return b.Bytes(), nil
 }
 
-// valueReader reads the two members of a stored value.
+// valueReader reads the members of a stored value.
 type valueReader struct {
 	source *bytes.Reader
 	gzip   *gzip.Reader
 }
 
-// newValueReader returns a reader at the head.
+// newValueReader returns a reader at the first member.
 func newValueReader(value []byte) (*valueReader, error) {
 	source := bytes.NewReader(value)
 	z, err := gzip.NewReader(source)
@@ -147,20 +159,20 @@
 	return nil
 }
 
-// openedValue is a stored value whose head is decoded.
+// openedValue is the value of a whole version whose header is decoded.
 type openedValue struct {
-	head
+	header
 	rest *valueReader
 }
 
-// openValue decodes the head of a stored value.
+// openValue decodes the header of the value of a whole version.
 func openValue(value []byte) (*openedValue, error) {
 	r, err := newValueReader(value)
 	if err != nil {
 		return nil, err
 	}
 	o := &openedValue{rest: r}
-	if err := r.next(maxHeadBytes, &o.head); err != nil {
+	if err := r.next(maxHeaderBytes, &o.header); err != nil {
 		return nil, err
 	}
 	if o.Format != valueFormat || o.Number == 0 {
@@ -175,28 +187,27 @@
 	if held != nil && held.Number == o.Number && held.Digest == o.Digest {
 		return held, nil
 	}
-	if s := o.advance(held); s != nil {
+	if s := advance(held, o.Number, o.Digest, o.Patches); s != nil {
 		return s, nil
 	}
 	return o.readDocument(o.rest)
 }
 
 // advance returns held with the patches that it lacks, or nil if they are not
-// all known or do not lead to the digest.
-func (h *head) advance(held *snapshot) *snapshot {
-	if held == nil || held.Number >= h.Number {
+// all known or do not lead to the version with that number and digest.
+func advance(held *snapshot, number uint64, digest string, records []PatchRecord) *snapshot {
+	if held == nil || held.Number >= number {
 		return nil
 	}
-	s, err := followAll(held, recordsAfter(h.Patches, held.Number))
-	if err != nil || s.Number != h.Number || s.Digest != h.Digest {
+	s, err := followAll(held, recordsAfter(records, held.Number))
+	if err != nil || s.Number != number || s.Digest != digest {
 		return nil
 	}
-	s.Patches = h.Patches
 	return s
 }
 
 // readDocument decodes the document, which is the next member.
-func (h *head) readDocument(r *valueReader) (*snapshot, error) {
+func (h *header) readDocument(r *valueReader) (*snapshot, error) {
 	var d Document
 	if err := r.next(MaxDocumentBytes, &d); err != nil {
 		return nil, err
@@ -222,6 +233,10 @@
 
 // followAll applies accepted patches one after the other.
 func followAll(s *snapshot, records []PatchRecord) (*snapshot, error) {
+	if len(records) == 0 {
+		return s, nil
+	}
+	patches := trimRecords(slices.Concat(s.Patches, records))
 	for _, r := range records {
 		next, err := s.follow(r)
 		if err != nil {
@@ -229,5 +244,6 @@
 		}
 		s = next
 	}
+	s.Patches = patches
 	return s, nil
 }
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -17,6 +17,8 @@
 const (
 	// watchRetry is the pause after a failed watch.
 	watchRetry = 200 * time.Millisecond
+	// readTimeout bounds a read of the platform.
+	readTimeout = 2 * time.Second
 	// pollInterval is the time between reads of the object while this host does
 	// not watch and has no version yet.
 	pollInterval = 500 * time.Millisecond
@@ -63,6 +65,8 @@
 		switch a := a.(type) {
 		case configuration.Fetch:
 			go r.fetch(a)
+		case configuration.ReadCheckpoint:
+			go r.readCheckpoint(a)
 		case configuration.Watch:
 			r.setWatch(a)
 		case configuration.InForce:
@@ -189,18 +193,37 @@
 	}
 }
 
+// get reads an object within readTimeout.
+func (r *configurationRunner) get(name string) (platform.Object, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
+	defer cancel()
+	return r.store.Get(ctx, name)
+}
+
+// readCheckpoint reads a checkpoint for the tracker.
+func (r *configurationRunner) readCheckpoint(a configuration.ReadCheckpoint) {
+	object, err := r.get(a.Name)
+	var refused error
+	r.follow.step(func(now time.Time) []configuration.TrackerAction {
+		var actions []configuration.TrackerAction
+		actions, refused = r.tracker.CheckpointRead(now, a.Call, object, err)
+		return actions
+	})
+	if refused != nil {
+		klog.ErrorS(refused, "Configuration checkpoint not taken", "name", a.Name, "version", object.Version)
+	}
+}
+
 // pollUntilReady reads the object until this host has a version. A new host is
 // not among the members that watch yet.
 func (r *configurationRunner) pollUntilReady() {
 	for r.ctx.Err() == nil && r.number() == 0 {
-		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
-		object, err := r.store.Get(ctx, configuration.ObjectName)
-		cancel()
-		if err == nil {
-			r.take(object)
-			continue
+		if object, err := r.get(configuration.ObjectName); err == nil {
+			r.take(object) // may have to read a checkpoint as well
+		}
+		if r.number() == 0 {
+			sleep(r.ctx, pollInterval)
 		}
-		sleep(r.ctx, pollInterval)
 	}
 }
 
@@ -242,12 +265,12 @@
 }
 
 func (r *configurationRunner) readForEdit(a configuration.Read) {
-	object, err := r.store.Get(r.ctx, configuration.ObjectName)
+	object, err := r.store.Get(r.ctx, a.Name)
 	r.edit.step(func(now time.Time) []configuration.EditorAction { return r.editor.ReadDone(now, a.Call, object, err) })
 }
 
 func (r *configurationRunner) writeForEdit(a configuration.Write) {
-	object, err := r.store.Put(r.ctx, configuration.ObjectName, a.Base, a.Value)
+	object, err := r.store.Put(r.ctx, a.Name, a.Base, a.Value)
 	r.edit.step(func(now time.Time) []configuration.EditorAction { return r.editor.WriteDone(now, a.Call, object, err) })
 }
 
