--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,11 +43,6 @@
 	// shutDownMargin is allowed on top of the grace period for writing the
 	// release and the host list entry.
 	shutDownMargin = 3 * time.Second
-	// routesPatience bounds how long a new host waits for the tables of other data
-	// centres before it becomes ready.
-	routesPatience = 5 * time.Second
-	// routesPoll is the time between two looks at them.
-	routesPoll = 20 * time.Millisecond
 )
 
 // Daemon is one host of the system.
@@ -81,9 +75,6 @@
 	wait   sync.WaitGroup
 
 	replacedOnce sync.Once
-	// routed is set once this host knows the owners of the upstreams, or has
-	// waited for routesPatience.
-	routed atomic.Bool
 }
 
 // New returns a daemon that doesn't listen yet.
@@ -174,7 +165,7 @@
 	d.proofs.live = d.members.liveHere
 	d.directory.live = d.members.isLive
 	d.hosts.live, d.hosts.peers, d.hosts.changed = d.members.liveHere, d.members.othersHere, d.takeHosts
-	d.journal.writer = d.members.journalWriter
+	d.journal.hosts, d.journal.address = d.members.journalWriters, d.members.address
 	d.lifecycle.announce = d.announce
 	d.lifecycle.release = d.release
 	d.router.begin = func() bool { return d.begin(drain.OwnerWork) }
@@ -224,7 +215,6 @@
 	d.background(d.configuration.pollUntilReady)
 	d.background(func() { d.proofs.run(d.ctx) })
 	d.background(d.maintain)
-	d.background(d.awaitRoutes)
 	d.members.start()
 	d.tables.start()
 }
@@ -237,18 +227,6 @@
 	}()
 }
 
-// awaitRoutes holds back readiness until the tables of all data centres are known:
-// a host that has only the configuration refuses most queries. A data centre may
-// have no host or be cut off, so the wait is bounded.
-func (d *Daemon) awaitRoutes() {
-	ctx, cancel := context.WithTimeout(d.ctx, routesPatience)
-	defer cancel()
-	for ctx.Err() == nil && !d.directory.routesKnown() {
-		sleep(ctx, routesPoll)
-	}
-	d.routed.Store(true)
-}
-
 // stop makes a planned stop and returns the number of requests cut off.
 func (d *Daemon) stop() int {
 	klog.InfoS("Planned stop begins", "host", d.settings.Host.ID, "inFlight", d.lifecycle.inFlight())
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -11,7 +11,6 @@
 
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/membership"
-	"github.com/marigoldlever/marigoldlever/once"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
@@ -113,22 +112,39 @@
 	return nil, nil
 }
 
-// publish makes a new view if the member table changed.
+// publish makes a new view if the member table changed. A view is complete before
+// it is stored, since readers take no lock.
 func (r *memberRunner) publish() {
-	current := r.members.Load()
-	var next *memberView
+	for {
+		current := r.members.Load()
+		next := r.viewAfter(current.generation)
+		if next == nil {
+			return
+		}
+		if r.members.CompareAndSwap(current, next) {
+			r.changed(next)
+			return
+		}
+		// Another goroutine stored a view meanwhile, perhaps an older one than this.
+	}
+}
+
+// viewAfter returns the view of the member table, or nil if it is still that of
+// the generation.
+func (r *memberRunner) viewAfter(generation uint64) *memberView {
+	var view *memberView
 	r.step.view(func(time.Time) {
-		if g := r.machine.Generation(); g != current.generation {
-			next = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
+		if g := r.machine.Generation(); g != generation {
+			view = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
 		}
 	})
-	if next == nil || !r.members.CompareAndSwap(current, next) {
-		return
+	if view == nil {
+		return nil
 	}
-	for _, m := range next.others {
-		next.byID[m.ID] = m
+	for _, m := range view.others {
+		view.byID[m.ID] = m
 	}
-	r.changed(next)
+	return view
 }
 
 // setHosts takes the platform's host list as addresses to join through.
@@ -223,19 +239,20 @@
 	return list
 }
 
-// journalWriter returns the preferred writer of a journal among all live hosts.
-func (r *memberRunner) journalWriter(journal int) (id, address string) {
+// journalWriters returns the ids of all live hosts that serve.
+func (r *memberRunner) journalWriters() []string {
 	ids := []string{r.self.ID}
-	view := r.members.Load()
-	for _, m := range view.others {
+	for _, m := range r.members.Load().others {
 		if live(m) && m.Phase == membership.Serving {
 			ids = append(ids, m.ID)
 		}
 	}
-	id = once.Writer(journal, ids)
-	return id, view.byID[id].Address
+	return ids
 }
 
+// address returns the peer address of a host.
+func (r *memberRunner) address(id string) string { return r.members.Load().byID[id].Address }
+
 // holdersOfTable returns the addresses of hosts to ask for a table: those of its
 // data centre first.
 func (r *memberRunner) holdersOfTable(dataCentre string) []string {
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -174,7 +174,7 @@
 			continue // divided into other tasks
 		}
 		m.setState(t, waiting)
-		t.tries, t.tried, t.hedged, t.due = 0, 0, false, never
+		t.tries, t.tried, t.hedged, t.redirected, t.due = 0, 0, false, false, never
 		if probe != nil && probe.Snapshot == m.snapshot {
 			m.mergeKept(i, *probe)
 		}
@@ -182,9 +182,9 @@
 	for g := range m.groups {
 		m.trim(now, g, nil)
 	}
-	before := len(m.attempts)
+	before, repeated := len(m.attempts), m.counts.Repeated
 	m.sendAll(now)
-	m.counts.Repeated += len(m.attempts) - before
+	m.counts.Repeated = repeated + len(m.attempts) - before
 }
 
 // mergeKept merges a reply of the discovery unless it overlaps another part.
