configuration: apply patches of group and service lists to stubs

A JSON Patch that adds, removes, replaces or moves whole groups or services no longer encodes, decodes and hashes the services that it leaves alone. Other patches that name a list, such as a test of one, still need the whole document.

A version whose document is above MaxDocumentBytes is refused on all paths: the sparse ones checked the sparse document only.

--- a/configuration/patch_test.go
+++ b/configuration/patch_test.go
@@ -14,7 +14,7 @@
 
 // drawPatch draws a patch of a sample document with 3 services, which may fail.
 func drawPatch(t *rapid.T, d Document) Patch {
-	if rapid.Bool().Draw(t, "merge") {
+	if rapid.IntRange(0, 3).Draw(t, "merge") == 0 {
 		bodies := []string{
 			`{"data_centres":[{"name":"region-0-a","region":"x"}]}`, `{"units":null}`, `{"units":[]}`,
 			`{"contracts":null}`, `{}`, `[]`, `null`, `{"groups":[]}`, `{"groups":null}`, `{"Groups":[]}`, `{"extra":{"a":null}}`,
@@ -29,14 +29,20 @@
 		"/groups/0/services/9/replicas/0/slots", "/groups/-1/services/0/name", "/groups/0/services/1/name", "/groups/0/services/2/partition",
 		"/data_centres/0", "/data_centres/1/out", "/data_centres/-", "/units/0", "/contracts/0/prefer", "/contracts/0/colour", "bad",
 	}
+	kinds := []string{"add", "replace", "remove", "move", "copy", "test"}
 	values := []json.RawMessage{
 		[]byte(`3`), []byte(`true`), []byte(`null`), []byte(`"latency"`), []byte(`{}`), []byte(`[]`),
-		canonical(d.Groups), canonical(d.Groups[0].Services[1]), canonical(d.Groups[0].Services[1].Replicas[0]), canonical(d.DataCentres[1]),
+		[]byte(`{"name":"=0/1","partition":{"start":"0","end":"0"},"replicas":[]}`),
+		canonical(d.Groups[0]), canonical(d.Groups[0].Services[1]), canonical(d.Groups), canonical(d.Groups[0].Services[1].Replicas[0]), canonical(d.DataCentres[1]),
+	}
+	if rapid.Bool().Draw(t, "lists") {
+		paths = []string{"/groups/0/services/0", "/groups/0/services/1", "/groups/0/services/-", "/groups/0/services/2/replicas/0/slots", "/groups/-", "/data_centres/1/out"}
+		kinds, values = kinds[:4], values[6:9]
 	}
 	var operations []map[string]any
 	for range rapid.IntRange(1, 4).Draw(t, "operations") {
 		o := map[string]any{
-			"op":   rapid.SampledFrom([]string{"add", "replace", "remove", "move", "copy", "test"}).Draw(t, "op"),
+			"op":   rapid.SampledFrom(kinds).Draw(t, "op"),
 			"path": rapid.SampledFrom(paths).Draw(t, "path"),
 		}
 		switch o["op"] {
@@ -54,18 +60,24 @@
 }
 
 // Guards against the sparse application of a patch accepting, refusing or
-// resulting in something else than the application to the whole document.
+// resulting in something else than the application to the whole document, and
+// against the application to stubs resulting in something else.
 func TestSparsePatchMatchesWhole(t *testing.T) {
 	base := sampleSnapshot(t, 3, 6)
-	sparse, accepted := 0, 0
+	sparse, accepted, listed := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		p := drawPatch(t, base.Document)
 		touched, ok := base.touchedServices(p)
-		if !ok {
+		var got *snapshot
+		var gotErr error
+		if ok {
+			sparse++
+			got, gotErr = base.patchedSparse(p, touched, submitted)
+		} else if got, ok = base.patchedLists(p, submitted); ok {
+			listed++
+		} else {
 			return
 		}
-		sparse++
-		got, gotErr := base.patchedSparse(p, touched, submitted)
 		var want Document
 		whole, wantErr := applyBody(p.Type, canonical(base.Document), p.Body)
 		if wantErr == nil {
@@ -83,8 +95,9 @@
 			t.Fatalf("patch %s: sparse: %s, whole: %s", p.Body, canonical(got.Document), canonical(s.Document))
 		}
 	})
-	if sparse < 20 || accepted < 5 {
-		t.Errorf("only %d patches were sparse and %d of them valid", sparse, accepted)
+	t.Logf("%d patches were sparse, %d changed lists, %d of both were valid", sparse, listed, accepted)
+	if sparse < 20 || accepted < 5 || listed < 5 {
+		t.Errorf("only %d patches were sparse, %d changed lists, %d of both were valid", sparse, listed, accepted)
 	}
 }
 
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -92,6 +92,9 @@
 	if touched, ok := s.touchedServices(p); ok {
 		return s.patchedSparse(p, touched, mode)
 	}
+	if next, ok := s.patchedLists(p, mode); ok {
+		return next, nil
+	}
 	document, err := applyBody(p.Type, canonical(s.Document), p.Body)
 	if err != nil {
 		return nil, err
--- a/configuration/value.go
+++ b/configuration/value.go
@@ -93,7 +93,11 @@
 // document that fits without compression leaves room for the last record, so
 // that nothing has to be compressed.
 func (c *compressor) checkSize(v Version) error {
-	if len(canonical(v.Document)) <= platform.MaxValueBytes/2 {
+	size := len(canonical(v.Document))
+	if size > MaxDocumentBytes {
+		return tooLarge("document", size, MaxDocumentBytes)
+	}
+	if size <= platform.MaxValueBytes/2 {
 		return nil
 	}
 	_, err := c.encodeValue(v)
