Hedge by the group's latency while a service's own is unknown

Cause: a quantile needs 400 samples of a service on one event loop. At 100 queries/s over 6 hosts with 4 loops each that takes 95 s, during which hedges were sent after the fixed 50 ms.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -28,11 +28,11 @@
 // policies are the settings that a load can be run with, so that a figure is a
 // ratio to a baseline of the same run.
 var policies = map[string]settings.Policy{
-	"default":     {Choice: "two-choices", Hedge: "quantile", HedgeDelay: 50 * time.Millisecond, HedgeQuantile: 0.95, ExtraLoad: 0.03},
-	"random":      {Choice: "random", Hedge: "off", HedgeDelay: 50 * time.Millisecond, HedgeQuantile: 0.95, ExtraLoad: 0.03},
-	"fixed":       {Choice: "random", Hedge: "fixed", HedgeDelay: 50 * time.Millisecond, HedgeQuantile: 0.95, ExtraLoad: 0.03},
-	"round-robin": {Choice: "round-robin", Hedge: "off", HedgeDelay: 50 * time.Millisecond, HedgeQuantile: 0.95, ExtraLoad: 0.03},
-	"no-hedge":    {Choice: "two-choices", Hedge: "off", HedgeDelay: 50 * time.Millisecond, HedgeQuantile: 0.95, ExtraLoad: 0.03},
+	"default":     {Choice: "two-choices", Hedge: "quantile", HedgeDelay: 20 * time.Millisecond, HedgeQuantile: 0.975, ExtraLoad: 0.03},
+	"random":      {Choice: "random", Hedge: "off", HedgeDelay: 20 * time.Millisecond, HedgeQuantile: 0.975, ExtraLoad: 0.03},
+	"fixed":       {Choice: "random", Hedge: "fixed", HedgeDelay: 20 * time.Millisecond, HedgeQuantile: 0.975, ExtraLoad: 0.03},
+	"round-robin": {Choice: "round-robin", Hedge: "off", HedgeDelay: 20 * time.Millisecond, HedgeQuantile: 0.975, ExtraLoad: 0.03},
+	"no-hedge":    {Choice: "two-choices", Hedge: "off", HedgeDelay: 20 * time.Millisecond, HedgeQuantile: 0.975, ExtraLoad: 0.03},
 }
 
 func loadCommand() command {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -84,8 +84,8 @@
 
 		optional("policy", "choice", "two-choices", enumKey(&s.Policy.Choice, "two-choices", "round-robin", "random")),
 		optional("policy", "hedge", "quantile", enumKey(&s.Policy.Hedge, "quantile", "fixed", "off")),
-		optional("policy", "hedge_delay", "50ms", durationKey(&s.Policy.HedgeDelay, shortestTimeout, time.Minute)),
-		optional("policy", "hedge_quantile", "0.95", shareKey(&s.Policy.HedgeQuantile)),
+		optional("policy", "hedge_delay", "20ms", durationKey(&s.Policy.HedgeDelay, shortestTimeout, time.Minute)),
+		optional("policy", "hedge_quantile", "0.975", shareKey(&s.Policy.HedgeQuantile)),
 		optional("policy", "extra_load", "0.03", shareKey(&s.Policy.ExtraLoad)),
 
 		optional("trace", "file", "", textKey(&s.Trace.File)),
--- a/query/machine.go
+++ b/query/machine.go
@@ -76,7 +76,9 @@
 	partition upstream.HashRange
 	replicas  []replica
 	stats     *serviceStats
-	outdated  bool
+	// groupStats are the latencies of all services of the group.
+	groupStats *serviceStats
+	outdated   bool
 }
 
 // group collects the merged ranges of a Group.
@@ -267,6 +269,7 @@
 		latency := now.Sub(m.start) - a.sentAt
 		r.observe(now, latency)
 		s.stats.observe(latency)
+		s.groupStats.observe(latency)
 	}
 }
 
--- a/query/send.go
+++ b/query/send.go
@@ -81,8 +81,10 @@
 func (m *Machine) hedgeDelay(s *service) time.Duration {
 	tuning := &m.plan.Tuning
 	if tuning.Hedging == HedgeQuantile {
-		if d, ok := s.stats.quantile(tuning.HedgeQuantile); ok {
-			return d
+		for _, known := range [...]*serviceStats{s.stats, s.groupStats} {
+			if d, ok := known.quantile(tuning.HedgeQuantile); ok {
+				return d
+			}
 		}
 	}
 	return tuning.HedgeDelay
--- a/query/stats.go
+++ b/query/stats.go
@@ -36,12 +36,13 @@
 // use.
 type Stats struct {
 	services map[string]*serviceStats
+	groups   map[string]*serviceStats
 	replicas map[string]*replicaStats
 }
 
 // NewStats returns empty statistics.
 func NewStats() *Stats {
-	return &Stats{services: map[string]*serviceStats{}, replicas: map[string]*replicaStats{}}
+	return &Stats{services: map[string]*serviceStats{}, groups: map[string]*serviceStats{}, replicas: map[string]*replicaStats{}}
 }
 
 // Prune forgets services and replicas that were not used since the given time
@@ -86,6 +87,17 @@
 	return v
 }
 
+// group returns the latencies of all services of a group. They stand in for those
+// of a service that has few: 20 services know enough after a twentieth of the time.
+func (s *Stats) group(name string) *serviceStats {
+	v := s.groups[name]
+	if v == nil {
+		v = &serviceStats{}
+		s.groups[name] = v
+	}
+	return v
+}
+
 func (s *Stats) replica(id string) *replicaStats {
 	v := s.replicas[id]
 	if v == nil {
--- a/query/topology.go
+++ b/query/topology.go
@@ -125,7 +125,7 @@
 // newService fills replicas, which has room for those that are considered.
 func (m *Machine) newService(g int, s Service, replicas []replica) service {
 	out := service{
-		name: s.Name, group: g, partition: s.Partition, stats: m.stats.service(s.Name), replicas: replicas,
+		name: s.Name, group: g, partition: s.Partition, stats: m.stats.service(s.Name), groupStats: m.stats.group(m.groups[g].name), replicas: replicas,
 	}
 	for i, r := range s.Replicas[:len(replicas)] {
 		unusable := r.Unusable
