daemon: use redirects and hand-back of the cores

Cause: the cores tell requests that an owner did not send from those that failed at the upstream, and let an owner return a request that waits longer than expected; the messages between daemons did not carry either.

Change: work items carry hand_back, results carry unsent and retry_after. An owner that knows an attempt already answers that it may have run: the first one may be at the upstream.

--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -22,7 +22,7 @@
 	for {
 		owner, ok := r.choose(a)
 		if !ok {
-			return upstream.Reply{}, errors.Wrap(upstream.ErrShed, "no owner can take the request")
+			return upstream.Reply{}, errNoOwner
 		}
 		a.tried = append(a.tried, owner.Member.ID)
 		reply, err := r.executeAt(ctx, owner.Member.ID, owner.Member.PeerAddress, a)
@@ -34,12 +34,12 @@
 
 func (r *router) executeAt(ctx context.Context, id, address string, a *routed) (upstream.Reply, error) {
 	if id == r.self {
-		return r.executeHere(ctx, a.replica, a.request, a.deadline)
+		return r.executeHere(ctx, a.attempt)
 	}
 	ctx, span := r.tracer.Start(ctx, "owner.execute", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	var done workDone
-	item := newWorkItem(a.replica, a.request, time.Now(), a.deadline)
+	item := newWorkItem(a.attempt, time.Now())
 	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), address, methodWorkExecute, item, &done)
 	if err != nil {
 		return upstream.Reply{}, ownerError(err)
@@ -47,16 +47,16 @@
 	if done.Attempt != a.id {
 		return upstream.Reply{}, errors.Wrapf(upstream.ErrMismatch, "attempt %s", done.Attempt)
 	}
-	return done.Reply, done.Failure.errorOf()
+	return done.Reply, done.err()
 }
 
-func (r *router) executeHere(ctx context.Context, replica string, request upstream.Request, deadline time.Time) (upstream.Reply, error) {
+func (r *router) executeHere(ctx context.Context, a attempt) (upstream.Reply, error) {
 	type result struct {
 		reply upstream.Reply
 		err   error
 	}
 	results := make(chan result, 1)
-	r.gateway.submit(ctx, replica, request, deadline, func(reply upstream.Reply, err error) {
+	r.gateway.submit(ctx, a, func(reply upstream.Reply, err error) {
 		results <- result{reply, err}
 	})
 	got := <-results
@@ -74,6 +74,6 @@
 	defer r.end()
 	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.execute", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	reply, err := r.executeHere(ctx, item.Replica, item.Request, item.deadline(time.Now()))
-	return workDone{Attempt: item.Request.Attempt, Reply: reply, Failure: codeOf(err)}, nil
+	reply, err := r.executeHere(ctx, item.attempt(time.Now()))
+	return newWorkDone(item.Request.Attempt, reply, err), nil
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -71,41 +71,42 @@
 
 // job is one sub-request at its owner.
 type job struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	request  upstream.Request
-	deadline time.Time
-	lane     *lane
-	once     sync.Once
-	done     func(upstream.Reply, error)
+	attempt
+	ctx    context.Context
+	cancel context.CancelFunc
+	lane   *lane
+	once   sync.Once
+	done   func(upstream.Reply, error)
 }
 
 // finish reports the end of the job. Only the first call counts: a cancellation
 // and a reply may meet.
 func (j *job) finish(reply upstream.Reply, err error) {
 	j.once.Do(func() {
-		j.lane.gateway.jobs.Delete(j.request.Attempt)
+		j.lane.gateway.jobs.Delete(j.id)
 		j.done(reply, err)
 	})
 }
 
 // submit brings a request to an upstream. done is called exactly once.
-func (g *gateway) submit(ctx context.Context, replica string, r upstream.Request, deadline time.Time, done func(upstream.Reply, error)) {
+func (g *gateway) submit(ctx context.Context, a attempt, done func(upstream.Reply, error)) {
 	now := time.Now()
-	if g.closed(now, replica) {
-		done(upstream.Reply{}, errors.Wrap(upstream.ErrDraining, "refused by the owner"))
+	if g.closed(now, a.replica) {
+		done(upstream.Reply{}, &unsentError{cause: errors.Wrap(upstream.ErrDraining, "refused by the owner")})
 		return
 	}
-	l, err := g.lane(replica)
+	l, err := g.lane(a.replica)
 	if err != nil {
 		done(upstream.Reply{}, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	j := &job{ctx: ctx, cancel: cancel, request: r, deadline: deadline, lane: l, done: done}
-	if _, duplicate := g.jobs.LoadOrStore(r.Attempt, j); duplicate {
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	j := &job{attempt: a, ctx: ctx, cancel: cancel, lane: l, done: done}
+	if _, duplicate := g.jobs.LoadOrStore(a.id, j); duplicate {
 		cancel()
-		done(upstream.Reply{}, errors.Wrap(upstream.ErrShed, "attempt is already known"))
+		// The first one may be at the upstream, so it can't be said that it did
+		// not run.
+		done(upstream.Reply{}, errors.Wrap(upstream.ErrBroken, "attempt is already known"))
 		return
 	}
 	l.offer(j)
@@ -244,7 +245,7 @@
 func (g *gateway) send(j *job) (upstream.Reply, error) {
 	ctx, span := g.tracer.Start(j.ctx, "upstream.work", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	span.SetAttributes(attribute.String("replica", j.lane.replica), attribute.String("attempt", j.request.Attempt))
+	span.SetAttributes(attribute.String("replica", j.lane.replica), attribute.String("attempt", j.id))
 	r := j.request
 	r.Deadline = time.Until(j.deadline)
 	if r.Deadline <= 0 {
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -79,10 +79,10 @@
 	var decision capacity.Decision
 	l.step(func(now time.Time) capacity.Changes {
 		changes := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
-		l.waiting[j.request.Attempt] = j
-		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.request.Attempt, Deadline: j.deadline})
+		l.waiting[j.id] = j
+		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.id, Deadline: j.deadline, HandBack: j.handBack})
 		if decision.Verdict != capacity.Queued {
-			delete(l.waiting, j.request.Attempt)
+			delete(l.waiting, j.id)
 		}
 		return changes
 	})
@@ -90,7 +90,7 @@
 	case capacity.Started:
 		go l.run(j)
 	case capacity.Refused:
-		l.refuse(j, decision.Reason)
+		l.refuse(j, decision.Reason, decision.RetryAfter)
 	}
 }
 
@@ -98,9 +98,9 @@
 func (l *lane) drop(j *job) {
 	queued := false
 	l.machine.view(func(time.Time) {
-		queued = l.limiter.Cancel(j.request.Attempt)
+		queued = l.limiter.Cancel(j.id)
 		if queued {
-			delete(l.waiting, j.request.Attempt)
+			delete(l.waiting, j.id)
 		}
 	})
 	if queued {
@@ -124,7 +124,7 @@
 	}
 	for _, e := range c.Ended {
 		if j := l.take(e.ID); j != nil {
-			l.refuse(j, e.Reason)
+			l.refuse(j, e.Reason, e.RetryAfter)
 		}
 	}
 }
@@ -139,7 +139,7 @@
 }
 
 // refuse ends a job that was not sent.
-func (l *lane) refuse(j *job, reason capacity.Reason) {
+func (l *lane) refuse(j *job, reason capacity.Reason, retryAfter time.Duration) {
 	metrics.GetOrRegisterCounter("gateway.refused."+string(reason), l.gateway.registry).Inc(1)
 	cause := upstream.ErrShed
 	switch reason {
@@ -149,7 +149,8 @@
 		cause = upstream.ErrDraining
 	}
 	j.cancel()
-	j.finish(upstream.Reply{}, errors.Wrapf(cause, "refused by the owner: %s", reason))
+	refused := errors.Wrapf(cause, "refused by the owner: %s", reason)
+	j.finish(upstream.Reply{}, &unsentError{cause: refused, retryAfter: retryAfter})
 }
 
 // run sends a job that the limiter has started.
@@ -159,8 +160,8 @@
 	// The right is checked again right before the send: this goroutine may have
 	// been paused since the limiter's decision.
 	if l.gateway.rights.allowed(sentAt, l.replica) == 0 {
-		l.end(j.request.Attempt, capacity.Outcome{Result: capacity.Cancelled})
-		l.refuse(j, capacity.ReasonNoShare)
+		l.end(j.id, capacity.Outcome{Result: capacity.Cancelled})
+		l.refuse(j, capacity.ReasonNoShare, 0)
 		return
 	}
 	reply, err := l.gateway.send(j)
@@ -170,9 +171,9 @@
 		if errors.Is(j.ctx.Err(), context.Canceled) {
 			outcome.Result = capacity.Cancelled
 		}
-		time.AfterFunc(cancelSettle, func() { l.end(j.request.Attempt, outcome) })
+		time.AfterFunc(cancelSettle, func() { l.end(j.id, outcome) })
 	} else {
-		l.end(j.request.Attempt, outcome)
+		l.end(j.id, outcome)
 	}
 	j.finish(reply, err)
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -46,6 +46,9 @@
 	end   func()
 }
 
+// errNoOwner ends an attempt that no owner would take.
+var errNoOwner error = &unsentError{cause: errors.Wrap(upstream.ErrShed, "no owner can take the request")}
+
 // routed is an attempt on its way.
 type routed struct {
 	attempt
@@ -103,7 +106,7 @@
 	for _, a := range group {
 		owner, ok := r.choose(a)
 		if !ok {
-			r.settle(a.id, upstream.Reply{}, errors.Wrap(upstream.ErrShed, "no owner can take the request"))
+			r.settle(a.id, upstream.Reply{}, errNoOwner)
 			continue
 		}
 		if !a.assign(owner.Member) {
@@ -152,7 +155,7 @@
 }
 
 func (r *router) sendHere(ctx context.Context, a *routed) {
-	r.gateway.submit(ctx, a.replica, a.request, a.deadline, func(reply upstream.Reply, err error) {
+	r.gateway.submit(ctx, a.attempt, func(reply upstream.Reply, err error) {
 		r.finish(a.id, reply, err)
 	})
 }
@@ -167,7 +170,7 @@
 	message := workBatch{Items: make([]workItem, len(batch))}
 	latest := now
 	for i, a := range batch {
-		message.Items[i] = newWorkItem(a.replica, a.request, now, a.deadline)
+		message.Items[i] = newWorkItem(a.attempt, now)
 		if a.deadline.After(latest) {
 			latest = a.deadline
 		}
@@ -267,9 +270,9 @@
 	var wait sync.WaitGroup
 	for _, item := range batch.Items {
 		wait.Add(1)
-		r.gateway.submit(ctx, item.Replica, item.Request, item.deadline(now), func(reply upstream.Reply, err error) {
+		r.gateway.submit(ctx, item.attempt(now), func(reply upstream.Reply, err error) {
 			defer wait.Done()
-			done := workDone{Attempt: item.Request.Attempt, Reply: reply, Failure: codeOf(err)}
+			done := newWorkDone(item.Request.Attempt, reply, err)
 			if err := r.node.Notify(ctx, request.From, methodWorkDone, done); err != nil {
 				metrics.GetOrRegisterCounter("router.reply_lost", r.registry).Inc(1)
 			}
@@ -284,7 +287,7 @@
 	if err := request.Decode(&done); err != nil {
 		return nil, err
 	}
-	r.finish(done.Attempt, done.Reply, done.Failure.errorOf())
+	r.finish(done.Attempt, done.Reply, done.err())
 	return nil, nil
 }
 
--- a/internal/daemon/scatter.go
+++ b/internal/daemon/scatter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"github.com/cockroachdb/errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	replica  string
 	request  upstream.Request
 	deadline time.Time
+	handBack bool // the owner may return it if it waits longer than expected
 	done     func(upstream.Reply, error)
 }
 
@@ -171,6 +173,7 @@
 			Snapshot: s.Snapshot, Partition: s.Partition, Body: r.body,
 		},
 		deadline: s.Deadline,
+		handBack: s.HandBack,
 		done: func(reply upstream.Reply, err error) {
 			r.scatter.observe(s.Replica, reply, err, now)
 			r.replied(s.Attempt, reply, err)
@@ -181,12 +184,21 @@
 func (r *scatterRun) replied(id string, reply upstream.Reply, err error) {
 	r.step(func(now time.Time) []query.Action {
 		if err != nil {
-			return r.machine.Fail(now, id, query.FailureOf(err, reply.Held))
+			return r.machine.Fail(now, id, failureOf(err, reply.Held))
 		}
 		return r.machine.Reply(now, id, reply)
 	})
 }
 
+func failureOf(err error, held []uint64) query.Failure {
+	f := query.FailureOf(err, held)
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		f.Unsent, f.RetryAfter = true, unsent.retryAfter
+	}
+	return f
+}
+
 // abandon stops a query whose caller is gone.
 func (r *scatterRun) abandon() {
 	r.step(func(now time.Time) []query.Action {
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -43,20 +43,37 @@
 	return errors.As(err, &remote) && remote.Code == codeLeaving
 }
 
+// unsentError reports that an owner refused or handed back a request before it
+// reached the upstream, so that another replica may be asked without adding load
+// to any.
+type unsentError struct {
+	cause      error
+	retryAfter time.Duration // 0 if unknown
+}
+
+func (e *unsentError) Error() string { return "not sent to the upstream: " + e.cause.Error() }
+
+func (e *unsentError) Unwrap() error { return e.cause }
+
 // workItem is one sub-request for an upstream of the receiving owner.
 type workItem struct {
 	Replica    string           `json:"replica"`
 	DeadlineUS int64            `json:"deadline_us"` // microseconds left when it was sent
+	HandBack   bool             `json:"hand_back,omitempty"`
 	Request    upstream.Request `json:"request"`
 }
 
-func newWorkItem(replica string, r upstream.Request, now, deadline time.Time) workItem {
-	return workItem{Replica: replica, DeadlineUS: deadline.Sub(now).Microseconds(), Request: r}
+func newWorkItem(a attempt, now time.Time) workItem {
+	return workItem{Replica: a.replica, DeadlineUS: a.deadline.Sub(now).Microseconds(), HandBack: a.handBack, Request: a.request}
 }
 
-// deadline returns when the item is due by the receiver's clock.
-func (w workItem) deadline(now time.Time) time.Time {
-	return now.Add(time.Duration(w.DeadlineUS) * time.Microsecond)
+// attempt returns the item as an attempt, with its deadline by the receiver's
+// clock.
+func (w workItem) attempt(now time.Time) attempt {
+	return attempt{
+		id: w.Request.Attempt, replica: w.Replica, request: w.Request, handBack: w.HandBack,
+		deadline: now.Add(time.Duration(w.DeadlineUS) * time.Microsecond),
+	}
 }
 
 type workBatch struct {
@@ -68,6 +85,27 @@
 	Attempt string         `json:"attempt"`
 	Reply   upstream.Reply `json:"reply"`
 	Failure failureCode    `json:"failure,omitempty"`
+	// Unsent and RetryAfterUS, in microseconds, qualify a Failure.
+	Unsent       bool  `json:"unsent,omitempty"`
+	RetryAfterUS int64 `json:"retry_after_us,omitempty"`
+}
+
+func newWorkDone(id string, reply upstream.Reply, err error) workDone {
+	done := workDone{Attempt: id, Reply: reply, Failure: codeOf(err)}
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		done.Unsent, done.RetryAfterUS = true, unsent.retryAfter.Microseconds()
+	}
+	return done
+}
+
+// err returns the error that newWorkDone was given, as far as it was encoded.
+func (d workDone) err() error {
+	err := d.Failure.errorOf()
+	if err != nil && d.Unsent {
+		return &unsentError{cause: err, retryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond}
+	}
+	return err
 }
 
 type workCancel struct {
