Keep suspicions within their data centre

Cause: with pauses, suspicions and refutations made up a quarter of the traffic with 9 data centres, as every host sent them abroad, where hosts spread them on. Only hosts that watch each other act on them.

Change: only changes of what a host says of itself, and deaths, are pushed to another data centre. A suspicion that arrives there all the same is taken over but not spread.

--- a/membership/machine.go
+++ b/membership/machine.go
@@ -31,7 +31,7 @@
 	period   time.Time            // next heartbeats
 	pushAt   time.Time            // next push; zero if there is no news
 	news     []string             // IDs changed since the last push
-	rose     bool                 // a fact that concerns all data centres rose
+	rose     bool                 // news that concern all data centres
 	recent   []repeat             // changes that heartbeats still repeat
 	asked    time.Time            // when a fresher proof was last asked for
 	sweep    time.Time            // next removal of old records
@@ -147,14 +147,15 @@
 		return
 	}
 	m.self.Phase = p
-	m.restate(now)
+	m.restate(now, true)
 }
 
-// restate raises the version of the own record and spreads it.
-func (m *Machine) restate(now time.Time) {
+// restate raises the version of the own record and spreads it, a wide change to
+// all data centres.
+func (m *Machine) restate(now time.Time, wide bool) {
 	m.self.Version++
 	m.restated = now
-	m.changed(now, m.self.ID)
+	m.changed(now, m.self.ID, wide)
 }
 
 // Next returns when Tick has to be called.
@@ -253,8 +254,8 @@
 	m.recent = slices.DeleteFunc(m.recent, func(r repeat) bool { return r.left <= 0 })
 }
 
-// push sends the news to the pushed hosts and to one host of another data
-// centre.
+// push sends the news to the pushed hosts and, if they concern all data centres,
+// to one host of another.
 func (m *Machine) push(now time.Time) []Message {
 	m.pushAt = time.Time{}
 	others := m.ring(m.self.DataCentre).after(m.self.ID)
@@ -267,7 +268,7 @@
 		}
 	}
 	targets = append(slices.Clone(targets), accused...)
-	if id := m.stranger(now); id != "" && (m.rose || len(m.news) > 0) {
+	if id := m.stranger(now); id != "" && m.rose {
 		targets = append(targets, id)
 	}
 	first := m.news[:min(len(m.news), m.cfg.MaxUpdates)]
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -166,15 +166,21 @@
 	if old == nil && u.gone() {
 		return
 	}
+	previous := Member{Phase: Left}
 	if old != nil {
-		m.leave(old.Member)
-		m.redigest(now, old.Member, u)
-	} else {
-		m.redigest(now, Member{Phase: Left}, u)
+		previous = old.Member
+		m.leave(previous)
 	}
+	m.redigest(now, previous, u)
 	m.members[u.ID] = &MemberState{Member: u, Since: now}
 	m.enter(now, u)
-	m.changed(now, u.ID)
+	// Suspicions and their refutations concern only the hosts that watch.
+	wide := previous.gone() != u.gone() || previous.digest() != u.digest()
+	if wide || u.DataCentre == m.self.DataCentre {
+		m.changed(now, u.ID, wide)
+	} else {
+		m.generation++
+	}
 }
 
 // refute answers a record about this host that others wrote.
@@ -184,7 +190,7 @@
 		m.superseded = true
 	case u.Incarnation == m.self.Incarnation && u.Status != Live && u.Version >= m.self.Version:
 		m.self.Version = u.Version
-		m.restate(now)
+		m.restate(now, u.Status == Dead)
 	}
 }
 
@@ -232,9 +238,10 @@
 	}
 }
 
-// changed spreads the record of a host.
-func (m *Machine) changed(now time.Time, id string) {
+// changed spreads the record of a host; a wide change also to other data centres.
+func (m *Machine) changed(now time.Time, id string, wide bool) {
 	m.generation++
+	m.rose = m.rose || wide
 	if !slices.Contains(m.news, id) {
 		m.news = append(m.news, id)
 	}
