daemon: announce a changed ramp level to co-owners at once

Cause: levels went to co-owners once a second only, so that a replica that had turned cold could get their full share for that time.

Change: each limiter event that makes a notice due sends it; the periodic one repairs a lost notice.

--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -42,9 +42,19 @@
 
 func (l *lane) share() ownedShare { return *l.current.Load() }
 
-// step passes one event to the limiter.
+// step passes one event to the limiter and announces a level that changed.
 func (l *lane) step(event func(now time.Time) capacity.Changes) {
-	l.machine.step(func(now time.Time) []capacity.Changes { return []capacity.Changes{event(now)} })
+	var notice capacity.Notice
+	due := false
+	l.machine.step(func(now time.Time) []capacity.Changes {
+		changes := event(now)
+		notice, due = l.limiter.TakeNotice(now)
+		due = due && l.owned.owners > 1
+		return []capacity.Changes{changes}
+	})
+	if due {
+		l.gateway.announce(l.replica, notice)
+	}
 }
 
 // update applies a new rank or share.
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -63,10 +63,20 @@
 	}
 }
 
-// sendNotices tells the co-owners of this host's upstreams their ramp levels.
+// sendNotices tells the co-owners of this host's upstreams their ramp levels. A
+// co-owner that lost a notice stays at a lower level until it gets one.
 func (d *Daemon) sendNotices() {
+	d.notify(d.gateway.notices(time.Now()))
+}
+
+// announceLevel tells the co-owners of one upstream its ramp level at once.
+func (d *Daemon) announceLevel(replica string, n capacity.Notice) {
+	go d.notify(map[string]capacity.Notice{replica: n})
+}
+
+func (d *Daemon) notify(levels map[string]capacity.Notice) {
 	byOwner := make(map[string]coldNotice)
-	for replica, notice := range d.gateway.notices(time.Now()) {
+	for replica, notice := range levels {
 		for _, s := range d.directory.allOwners(replica) {
 			if s.Member.ID == d.settings.Host.ID {
 				continue
@@ -82,7 +92,6 @@
 	ctx, cancel := context.WithTimeout(d.ctx, maintenanceInterval)
 	defer cancel()
 	for address, n := range byOwner {
-		// A lost notice leaves the co-owner at a lower level until the next one.
 		_ = d.node.Notify(ctx, address, methodColdNotice, n)
 	}
 }
