daemon: tell co-owners of a cold start at once

Cause: the limiter says after each event whether a ramp notice has to go to the other owners, but the daemon never asked it. Notices went out once a second, and only from the owner of rank 0: an owner of a lower rank that saw a restart first told nobody, and the others used their shares of the cold upstream for up to a second.

Change: each event at a lane passes a due notice on. The notices once a second stay, as they repair lost ones.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,6 +155,7 @@
 	d.gateway.connect = d.client.SetConnections
 	d.gateway.closed = d.directory.closed
 	d.gateway.heard = d.learn
+	d.gateway.tell = d.tellLevel
 	d.scatter.observe = d.learn
 	d.configuration.inForce = d.putInForce
 	d.tables.holders = d.members.holdersOfTable
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,6 +46,7 @@
 	rights   rights
 	closed   func(now time.Time, replica string) bool
 	heard    func(replica string, r upstream.Reply, err error, sentAt time.Time)
+	tell     func(replica string, n capacity.Notice) // sends a ramp level to the other owners
 	registry metrics.Registry
 	tracer   trace.Tracer
 
@@ -62,6 +63,7 @@
 		rights:   r,
 		closed:   func(time.Time, string) bool { return false },
 		heard:    func(string, upstream.Reply, error, time.Time) {},
+		tell:     func(string, capacity.Notice) {},
 		registry: registry,
 		tracer:   otel.Tracer("marigoldlever/gateway"),
 		lanes:    make(map[string]*lane),
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -29,7 +29,7 @@
 		return nil, errors.Wrapf(err, "limiter of replica %s", replica)
 	}
 	l := &lane{gateway: g, replica: replica, limiter: limiter, waiting: make(map[string]*job)}
-	l.machine.tick = func(now time.Time) []capacity.Changes { return []capacity.Changes{l.limiter.Tick(now)} }
+	l.machine.tick = func(now time.Time) []capacity.Changes { return l.noticed(now, l.limiter.Tick(now)) }
 	l.machine.next = limiter.Next
 	l.machine.perform = func(_ time.Time, changes []capacity.Changes) {
 		for _, c := range changes {
@@ -44,7 +44,16 @@
 
 // step passes one event to the limiter.
 func (l *lane) step(event func(now time.Time) capacity.Changes) {
-	l.machine.step(func(now time.Time) []capacity.Changes { return []capacity.Changes{event(now)} })
+	l.machine.step(func(now time.Time) []capacity.Changes { return l.noticed(now, event(now)) })
+}
+
+// noticed tells the other owners at once when the event lowered the ramp: until
+// they know of a cold start they go on with their own shares.
+func (l *lane) noticed(now time.Time, c capacity.Changes) []capacity.Changes {
+	if notice, due := l.limiter.TakeNotice(now); due {
+		go l.gateway.tell(l.replica, notice)
+	}
+	return []capacity.Changes{c}
 }
 
 // update applies a new rank or share.
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -64,9 +64,16 @@
 }
 
 // sendNotices tells the co-owners of this host's upstreams their ramp levels.
-func (d *Daemon) sendNotices() {
+func (d *Daemon) sendNotices() { d.sendLevels(d.gateway.notices(time.Now())) }
+
+// tellLevel tells the co-owners of an upstream its ramp level.
+func (d *Daemon) tellLevel(replica string, n capacity.Notice) {
+	d.sendLevels(map[string]capacity.Notice{replica: n})
+}
+
+func (d *Daemon) sendLevels(levels map[string]capacity.Notice) {
 	byOwner := make(map[string]coldNotice)
-	for replica, notice := range d.gateway.notices(time.Now()) {
+	for replica, notice := range levels {
 		for _, s := range d.directory.allOwners(replica) {
 			if s.Member.ID == d.settings.Host.ID {
 				continue
