--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -63,18 +63,16 @@
 	}
 }
 
-// sendNotices tells the co-owners of this host's upstreams their ramp levels. A
-// co-owner that lost a notice stays at a lower level until it gets one.
-func (d *Daemon) sendNotices() {
-	d.notify(d.gateway.notices(time.Now()))
-}
+// sendNotices tells the co-owners of this host's upstreams their ramp levels
+// again: a co-owner that lost a notice stays at a lower level.
+func (d *Daemon) sendNotices() { d.sendLevels(d.gateway.notices(time.Now())) }
 
-// announceLevel tells the co-owners of one upstream its ramp level at once.
-func (d *Daemon) announceLevel(replica string, n capacity.Notice) {
-	go d.notify(map[string]capacity.Notice{replica: n})
+// tellLevel tells the co-owners of an upstream its ramp level.
+func (d *Daemon) tellLevel(replica string, n capacity.Notice) {
+	d.sendLevels(map[string]capacity.Notice{replica: n})
 }
 
-func (d *Daemon) notify(levels map[string]capacity.Notice) {
+func (d *Daemon) sendLevels(levels map[string]capacity.Notice) {
 	byOwner := make(map[string]coldNotice)
 	for replica, notice := range levels {
 		for _, s := range d.directory.allOwners(replica) {
