Name the pause that the lease does not cover

A pause between the check and the write to the socket is not seen by it, and the replica has no means to refuse the late request.

Change: Allowed says so and asks for a second check after the write, with a cancellation if the rights ended meanwhile. This shortens the overload; only a fence at the upstream would prevent it.

--- a/ownership/holder.go
+++ b/ownership/holder.go
@@ -269,6 +269,10 @@
 
 // Allowed returns the slots of a replica that this host may have in use now.
 // Call it before each send.
+//
+// A pause of the process between this check and the write to the socket is not
+// covered by the lease: what it sends on resuming can exceed the replica's slots.
+// Check Covered again after the write and cancel the request if the rights ended.
 func (h *Holder) Allowed(now time.Time, replica string, slots int) int {
 	return h.AllowedOf(now, replica, slots, slots)
 }
