daemon: pass on a host list only when it has changed

Cause: every host took the whole list of upstream hosts each second, with the gate's lock held, and made all cached plans of queries out of date, also when nothing had changed. Change: a list with the digest of the one before only renews its time.

--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -34,7 +34,7 @@
 	node  *peer.Node
 	live  func() []string
 	peers func() []membership.MemberState // other hosts of this data centre
-	// changed is called with each list that was read.
+	// changed is called with each list that differs from the one before.
 	changed func(requestedAt time.Time, hosts []platform.Host)
 
 	mu          sync.Mutex
@@ -119,8 +119,14 @@
 		h.mu.Unlock()
 		return
 	}
+	same := digest != "" && digest == h.digest
 	h.requestedAt, h.digest, h.hosts = requestedAt, digest, hosts
 	h.mu.Unlock()
+	if same {
+		// Passing on thousands of hosts that are as before would also make every
+		// cached plan of a query out of date each second.
+		return
+	}
 	h.changed(requestedAt, hosts)
 }
 
