--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -29,7 +29,7 @@
 		return nil, errors.Wrapf(err, "limiter of replica %s", replica)
 	}
 	l := &lane{gateway: g, replica: replica, limiter: limiter, waiting: make(map[string]*job)}
-	l.machine.tick = func(now time.Time) []capacity.Changes { return []capacity.Changes{l.limiter.Tick(now)} }
+	l.machine.tick = func(now time.Time) []capacity.Changes { return l.noticed(now, l.limiter.Tick(now)) }
 	l.machine.next = limiter.Next
 	l.machine.perform = func(_ time.Time, changes []capacity.Changes) {
 		for _, c := range changes {
@@ -44,7 +44,16 @@
 
 // step passes one event to the limiter.
 func (l *lane) step(event func(now time.Time) capacity.Changes) {
-	l.machine.step(func(now time.Time) []capacity.Changes { return []capacity.Changes{event(now)} })
+	l.machine.step(func(now time.Time) []capacity.Changes { return l.noticed(now, event(now)) })
+}
+
+// noticed tells the other owners at once when the event lowered the ramp: until
+// they know of a cold start they go on with their own shares.
+func (l *lane) noticed(now time.Time, c capacity.Changes) []capacity.Changes {
+	if notice, due := l.limiter.TakeNotice(now); due && l.owned.owners > 1 {
+		go l.gateway.tell(l.replica, notice)
+	}
+	return []capacity.Changes{c}
 }
 
 // update applies a new rank or share.
@@ -79,10 +88,10 @@
 	var decision capacity.Decision
 	l.step(func(now time.Time) capacity.Changes {
 		changes := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
-		l.waiting[j.request.Attempt] = j
-		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.request.Attempt, Deadline: j.deadline})
+		l.waiting[j.id] = j
+		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.id, Deadline: j.deadline, HandBack: j.handBack})
 		if decision.Verdict != capacity.Queued {
-			delete(l.waiting, j.request.Attempt)
+			delete(l.waiting, j.id)
 		}
 		return changes
 	})
@@ -90,7 +99,7 @@
 	case capacity.Started:
 		go l.run(j)
 	case capacity.Refused:
-		l.refuse(j, decision.Reason)
+		l.refuse(j, decision.Reason, decision.RetryAfter)
 	}
 }
 
@@ -98,9 +107,9 @@
 func (l *lane) drop(j *job) {
 	queued := false
 	l.machine.view(func(time.Time) {
-		queued = l.limiter.Cancel(j.request.Attempt)
+		queued = l.limiter.Cancel(j.id)
 		if queued {
-			delete(l.waiting, j.request.Attempt)
+			delete(l.waiting, j.id)
 		}
 	})
 	if queued {
@@ -124,7 +133,7 @@
 	}
 	for _, e := range c.Ended {
 		if j := l.take(e.ID); j != nil {
-			l.refuse(j, e.Reason)
+			l.refuse(j, e.Reason, e.RetryAfter)
 		}
 	}
 }
@@ -139,7 +148,7 @@
 }
 
 // refuse ends a job that was not sent.
-func (l *lane) refuse(j *job, reason capacity.Reason) {
+func (l *lane) refuse(j *job, reason capacity.Reason, retryAfter time.Duration) {
 	metrics.GetOrRegisterCounter("gateway.refused."+string(reason), l.gateway.registry).Inc(1)
 	cause := upstream.ErrShed
 	switch reason {
@@ -149,7 +158,8 @@
 		cause = upstream.ErrDraining
 	}
 	j.cancel()
-	j.finish(upstream.Reply{}, errors.Wrapf(cause, "refused by the owner: %s", reason))
+	refused := errors.Wrapf(cause, "refused by the owner: %s", reason)
+	j.finish(upstream.Reply{}, &unsentError{cause: refused, retryAfter: retryAfter})
 }
 
 // run sends a job that the limiter has started.
@@ -159,8 +169,8 @@
 	// The right is checked again right before the send: this goroutine may have
 	// been paused since the limiter's decision.
 	if l.gateway.rights.allowed(sentAt, l.replica) == 0 {
-		l.end(j.request.Attempt, capacity.Outcome{Result: capacity.Cancelled})
-		l.refuse(j, capacity.ReasonNoShare)
+		l.end(j.id, capacity.Outcome{Result: capacity.Cancelled})
+		l.refuse(j, capacity.ReasonNoShare, 0)
 		return
 	}
 	reply, err := l.gateway.send(j)
@@ -170,9 +180,9 @@
 		if errors.Is(j.ctx.Err(), context.Canceled) {
 			outcome.Result = capacity.Cancelled
 		}
-		time.AfterFunc(cancelSettle, func() { l.end(j.request.Attempt, outcome) })
+		time.AfterFunc(cancelSettle, func() { l.end(j.id, outcome) })
 	} else {
-		l.end(j.request.Attempt, outcome)
+		l.end(j.id, outcome)
 	}
 	j.finish(reply, err)
 }
--- a/query/send.go
+++ b/query/send.go
@@ -21,6 +21,10 @@
 // sendFirst sends the first attempt of a task for the current snapshot.
 func (m *Machine) sendFirst(now time.Time, i int) {
 	t := &m.tasks[i]
+	if m.services[t.service].outdated {
+		m.divide(now, i)
+		return
+	}
 	r, ok := m.pick(now, t)
 	if !ok || now.Sub(m.start) >= m.replyBy {
 		t.reason = m.whyNoReplica(t)
@@ -54,6 +58,7 @@
 	m.emit(Send{
 		Attempt: id, Group: m.groups[t.group].name, Service: s.name, Replica: rep.id, DataCentre: rep.dataCentre,
 		Snapshot: m.snapshot, Partition: t.rng, Deadline: m.start.Add(m.replyBy), Hedge: hedge, Retry: retry,
+		HandBack: !t.redirected && m.usable(t)&^t.tried != 0,
 	})
 }
 
@@ -76,8 +81,10 @@
 func (m *Machine) hedgeDelay(s *service) time.Duration {
 	tuning := &m.plan.Tuning
 	if tuning.Hedging == HedgeQuantile {
-		if d, ok := s.stats.quantile(tuning.HedgeQuantile); ok {
-			return d
+		for _, known := range [...]*serviceStats{s.stats, s.groupStats} {
+			if d, ok := known.quantile(tuning.HedgeQuantile); ok {
+				return d
+			}
 		}
 	}
 	return tuning.HedgeDelay
@@ -124,22 +131,47 @@
 	s := &m.services[a.service]
 	rep := &s.replicas[a.replica]
 	t.reason = f.Reason
+	t.after = f.RetryAfter
 	switch f.Reason {
 	case ReasonSnapshot:
 		rep.held = append([]uint64{}, f.Held...)
-	case ReasonLeaving:
-		rep.unusable = ReasonLeaving
+	case ReasonLeaving, ReasonOut:
+		rep.unusable = f.Reason
 	}
 	if t.live > 0 {
 		return
 	}
 	m.setState(t, waiting)
+	if f.Unsent && m.redirect(now, a) {
+		return
+	}
 	if f.Reason == ReasonSnapshot && !m.anotherHolds(now, t) && m.restart(now, s) {
 		return
 	}
 	m.retry(now, a.task)
 }
 
+// redirect sends a request that never reached an upstream to another replica,
+// once for each sub-request. It adds no load to upstreams, so it is not paid for.
+// The replica that did not get the request may still get a hedge or retry.
+func (m *Machine) redirect(now time.Time, a *attempt) bool {
+	i, from := a.task, a.replica
+	t := &m.tasks[i]
+	spent := t.redirected || t.tries >= m.plan.Tuning.MaxTries
+	if spent || m.services[t.service].outdated || now.Sub(m.start) >= m.replyBy {
+		return false
+	}
+	r, ok := m.pick(now, t)
+	if !ok {
+		return false
+	}
+	m.counts.Redirected++
+	t.redirected = true
+	m.send(now, i, r, false, false)
+	t.tried &^= 1 << from
+	return true
+}
+
 // anotherHolds reports whether a replica that was not asked yet may hold the
 // snapshot.
 func (m *Machine) anotherHolds(now time.Time, t *task) bool {
@@ -166,13 +198,24 @@
 		return
 	}
 	if !m.budget.Take() {
-		m.setDue(t, at+tuning.RetryInterval)
+		m.noBudget(t, at)
 		return
 	}
 	m.counts.Retries++
 	m.send(now, i, r, false, true)
 }
 
+// noBudget puts a retry off until the budget may have recovered. A request that
+// was shed is given up: shed requests without budget are a sign of overload, and
+// its query would only hold work that cannot become an answer.
+func (m *Machine) noBudget(t *task, at time.Duration) {
+	if t.reason == ReasonShed {
+		m.setState(t, failed)
+		return
+	}
+	m.setDue(t, at+m.plan.Tuning.RetryInterval)
+}
+
 // noReplicaLeft puts a task off if a replica may recover or a repartition may
 // follow, and ends it otherwise.
 func (m *Machine) noReplicaLeft(t *task, at time.Duration) {
@@ -184,7 +227,12 @@
 	switch t.reason {
 	case ReasonShed, ReasonBroken, ReasonTimedOut:
 		t.tried = 0
-		m.setDue(t, at+m.plan.Tuning.RetryInterval<<t.tries)
+		due := at + max(t.after, m.plan.Tuning.RetryInterval<<t.tries)
+		if due >= m.replyBy {
+			m.setState(t, failed)
+			return
+		}
+		m.setDue(t, due)
 	case ReasonMoved:
 		m.setDue(t, never) // Repartition sends it
 	default:
