daemon: keep the limiter when a replica's ramp starts again

Cause: a replica that came back got a new lane, whose limiter had forgotten the earlier incarnations, so that a late notice of an earlier incarnation could raise it.

Change: the limiter stays and its ramp starts again, as after draining.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -198,15 +198,15 @@
 	l.retire()
 }
 
-// chill puts replicas back to the floor of their ramp.
+// chill puts replicas back to the floor of their ramp. The lanes stay, since their
+// limiters know the earlier incarnations and so ignore late notices about them.
 func (g *gateway) chill(replicas []string) {
 	for _, replica := range replicas {
 		g.mu.Lock()
 		l, ok := g.lanes[replica]
 		g.mu.Unlock()
 		if ok {
-			// A new lane starts at the floor.
-			g.remove(l)
+			l.chill()
 			klog.V(1).InfoS("Upstream returned, its ramp starts again", "replica", replica)
 		}
 	}
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -64,10 +64,24 @@
 		l.owned = share
 		first := l.limiter.SetRank(now, share.rank, share.owners)
 		second := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
-		return capacity.Changes{Starts: append(first.Starts, second.Starts...), Ended: append(first.Ended, second.Ended...)}
+		return merge(first, second)
 	})
 }
 
+// chill starts the ramp again, as the end of draining does.
+func (l *lane) chill() {
+	l.step(func(now time.Time) capacity.Changes {
+		before := l.limiter.SetDraining(now, true)
+		after := l.limiter.SetDraining(now, false)
+		return merge(before, after)
+	})
+}
+
+// merge returns the changes of two events that follow each other.
+func merge(a, b capacity.Changes) capacity.Changes {
+	return capacity.Changes{Starts: append(a.Starts, b.Starts...), Ended: append(a.Ended, b.Ended...)}
+}
+
 func (l *lane) inFlight() int {
 	n := 0
 	l.machine.view(func(time.Time) { n = l.limiter.InFlight() })
@@ -192,6 +206,6 @@
 	l.step(func(now time.Time) capacity.Changes {
 		changes := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
 		after := l.limiter.Done(now, id, o)
-		return capacity.Changes{Starts: append(changes.Starts, after.Starts...), Ended: append(changes.Ended, after.Ended...)}
+		return merge(changes, after)
 	})
 }
