--- a/configuration/helpers_test.go
+++ b/configuration/helpers_test.go
@@ -139,7 +139,8 @@
 
 // read answers the reads of an editor until it asks for something else.
 func (o objects) read(now time.Time, e *Editor, actions []EditorAction) []EditorAction {
-	for len(actions) == 1 {
+	const steps = 10
+	for i := 0; i < steps && len(actions) == 1; i++ {
 		read, ok := actions[0].(Read)
 		if !ok {
 			break
@@ -154,15 +155,21 @@
 func (o objects) edit(t testing.TB, e *Editor, p Patch) Answer {
 	t.Helper()
 	actions := e.Submit(start, Submission{Token: "t", Patch: p, Deadline: start.Add(testDeadline)})
-	for {
+	const steps = 10
+	for range steps {
 		actions = o.read(start, e, actions)
 		if answer, ok := actions[0].(Answer); ok {
 			return answer
 		}
-		write := actions[0].(Write)
+		write, ok := actions[0].(Write)
+		if !ok {
+			break
+		}
 		object, err := o.put(write.Name, write.Base, write.Value)
 		actions = e.WriteDone(start, write.Call, object, err)
 	}
+	t.Fatalf("no answer after %d writes", steps)
+	return Answer{}
 }
 
 // show passes the head to a tracker and answers its read of a checkpoint.
