capacity: hold the ramp level while replies say that the upstream is cold

Cause: the level rose by good replies and time. An upstream that got little work was not warm by then and fell over at the higher level (seen over daemons: falls 1, requests above the capacity while cold 2 to 4, with cold_step_time 1 s).

Change: replies that report cold do not count for the next level, for at most ten step times, so that a report that is never taken back can't hold the load down for good. A report still only lowers the load.

Before: TestReportedColdHoldsLevel fails (level above the floor while cold is reported). After: it and the property tests of the package pass.

--- a/capacity/learn.go
+++ b/capacity/learn.go
@@ -46,7 +46,7 @@
 	if f.usesLimit {
 		l.limit.grow(l.share)
 	}
-	if !f.usesLevel || !f.levelSince.Equal(l.ramp.since) {
+	if !f.usesLevel || !f.levelSince.Equal(l.ramp.since) || l.heldCold(now, o.Load) {
 		return
 	}
 	l.ramp.good++
@@ -55,6 +55,17 @@
 	}
 }
 
+// coldHold is how long, in step times, a level is kept because the upstream's own
+// replies say that it is cold. The bound keeps a report that is never taken back
+// from holding the load down for good.
+const coldHold = 10
+
+// heldCold reports whether a reply's load report keeps the ramp from rising. Time
+// alone does not warm an upstream that gets little work.
+func (l *Limiter) heldCold(now time.Time, load upstream.Load) bool {
+	return load.Cold && now.Sub(l.ramp.since) < coldHold*l.cfg.StepTime
+}
+
 // seeIncarnation puts the upstream back on its ramp if it was restarted.
 func (l *Limiter) seeIncarnation(now time.Time, incarnation string) {
 	if incarnation == "" || incarnation == l.incarnation {
--- a/capacity/ramp_test.go
+++ b/capacity/ramp_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// Guards against a ramp that rises by time while the upstream gets too little work
+// to become warm, and against a report of cold that holds the load down for good.
+func TestReportedColdHoldsLevel(t *testing.T) {
+	cold := served
+	cold.Load.Cold = true
+	r := newRig(t, 4, 0, 1)
+	start := r.now
+	for r.now.Sub(start) < (coldHold-1)*r.l.cfg.StepTime {
+		r.serve(r.l.allowed(), testServiceTime, cold)
+	}
+	if n := r.l.Level(r.now); n.Level != r.l.cfg.Floor {
+		t.Fatalf("level %d while the upstream reports that it is cold, want %d", n.Level, r.l.cfg.Floor)
+	}
+	for r.now.Sub(start) < 3*coldHold*r.l.cfg.StepTime {
+		r.serve(r.l.allowed(), testServiceTime, cold)
+	}
+	if n := r.l.Level(r.now); n.Level == r.l.cfg.Floor {
+		t.Fatal("a report of cold that never ends keeps the upstream at the floor")
+	}
+}
+
 // Guards against a co-owner that takes a level from a notice which its own
 // replies have not shown, or keeps one that rank 0 lowered.
 func TestCoOwnerFollows(t *testing.T) {
