daemon: take the strictest ramp of all contracts; a large answer may have run

Cause: the ramp's floor and step were those of the last contract that names the group, not the strictest. peer.ErrTooLarge was taken as proof that a request did not run; an answer above the size limit comes after the handler ran.

Change: the lowest floor and step count; ErrTooLarge counts as an answer that was lost.

--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -263,25 +263,35 @@
 	}
 	group, _, _ := state.active.Service(service.Name)
 	c := capacity.DefaultConfig(r.Slots)
+	c.Floor, c.Step = 0, 0
 	for _, definition := range state.active.Document.Contracts {
 		limits, ok := state.active.Contract(definition.Name)
 		if ok && slices.Contains(limits.Groups, group.Name) {
 			c = strictest(c, limits)
 		}
 	}
-	c.Floor = min(c.Floor, c.Slots)
+	c.Floor = min(max(c.Floor, 1), c.Slots)
+	c.Step = max(c.Step, 1)
 	state.limits.Store(replica, c)
 	return c
 }
 
 func strictest(c capacity.Config, l contract.Limits) capacity.Config {
 	c.Slots = min(c.Slots, l.UpstreamLoad)
-	c.Floor = max(1, l.ColdFloor)
-	c.Step = max(1, l.ColdStep)
+	c.Floor = lower(c.Floor, l.ColdFloor)
+	c.Step = lower(c.Step, l.ColdStep)
 	c.StepTime = max(c.StepTime, l.ColdStepTime)
 	return c
 }
 
+// lower returns the lower of two numbers of slots, of which 0 stands for none.
+func lower(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // plan returns the plan of a query under a contract.
 func (d *directory) plan(now time.Time, id, name string) (query.Plan, bool) {
 	active := d.active()
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -191,7 +191,7 @@
 // did not run may be passed on to another owner.
 func ownerError(err error) error {
 	switch {
-	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused, peer.ErrTooLarge), isLeaving(err):
+	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused), isLeaving(err):
 		return errors.Mark(errors.Wrap(err, "owner did not take the request"), errNotOwner)
 	case errors.IsAny(err, context.DeadlineExceeded):
 		return errors.Mark(errors.Wrap(err, "owner did not answer"), upstream.ErrTimeout)
