capacity: wait for the co-owners' requests after a restart was seen

Change: an owner with co-owners pauses for ColdPause after it saw a new incarnation. The rig of TestNoColdSigns moves its clock by that pause; its checks are the same.

--- a/capacity/learn.go
+++ b/capacity/learn.go
@@ -74,6 +74,11 @@
 	if l.incarnation != "" {
 		l.chill(now)
 		l.restarted = true
+		if l.owners > 1 {
+			// What the co-owners sent before they heard of the restart still
+			// runs; together with it the next request would be one too many.
+			l.resumeAt = now.Add(l.cfg.ColdPause)
+		}
 	}
 	l.replaceIncarnation(incarnation)
 }
--- a/capacity/ramp_test.go
+++ b/capacity/ramp_test.go
@@ -94,6 +94,7 @@
 	r := newRig(t, 4, 0, 2)
 	r.warm(served)
 	r.l.Report(r.now, "i2", upstream.Load{})
+	r.now = r.now.Add(r.l.cfg.ColdPause) // after a restart the owner waits for its co-owners
 	again := Outcome{Result: Served, Incarnation: "i2"}
 	r.warm(again)
 	r.serve(1, 20*testServiceTime, again)
@@ -139,6 +140,22 @@
 	}
 }
 
+// Guards against a request to a restarted upstream while it still serves what the
+// co-owners sent before they heard of the restart.
+func TestRestartWaitsForCoOwners(t *testing.T) {
+	r := newRig(t, 2, 0, 2)
+	r.warm(served)
+	r.serve(1, time.Millisecond, Outcome{Result: Served, Incarnation: "i2"})
+	next := Ticket{ID: "next", Deadline: r.now.Add(time.Second)}
+	if d := r.l.Offer(r.now, next); d.Verdict != Queued {
+		t.Fatalf("%v right after the restart was seen, want the request queued", d.Verdict)
+	}
+	r.now = r.now.Add(r.l.cfg.ColdPause)
+	if c := r.l.Tick(r.now); len(c.Starts) != 1 {
+		t.Fatalf("%+v after the pause, want the request started", c)
+	}
+}
+
 // Guards against a co-owner that takes a level from a notice which its own
 // replies have not shown, or keeps one that rank 0 lowered.
 func TestCoOwnerFollows(t *testing.T) {
