daemon: reopen a drained upstream that restarted

Cause, found by following the reports of TestNoWorkAfterDraining: (1) the limiter of an owner still held the old incarnation as draining, since only the gate heard of the new one; (2) its refusal reached entry hosts as a drain signal without incarnation, which the gate charged to the new incarnation, and a draining incarnation stays closed. Ruled out: the health look and the answers to other hosts, which all named the new incarnation within 1 s.

Change: health reports go to the limiter too; an owner's refusal is no signal of the upstream.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -212,6 +212,18 @@
 	}
 }
 
+// report tells a replica's limiter what a health report says. Only a new
+// incarnation ends the draining of the old one, and no reply can tell of it while
+// no work is sent.
+func (g *gateway) report(replica, incarnation string, load upstream.Load) {
+	g.mu.Lock()
+	l, ok := g.lanes[replica]
+	g.mu.Unlock()
+	if ok {
+		l.step(func(now time.Time) capacity.Changes { return l.limiter.Report(now, incarnation, load) })
+	}
+}
+
 // notices returns the ramp levels that co-owners have to know, by replica.
 func (g *gateway) notices(now time.Time) map[string]capacity.Notice {
 	due := make(map[string]capacity.Notice)
--- a/internal/daemon/hash.go
+++ b/internal/daemon/hash.go
@@ -9,4 +9,10 @@
 
 func hashOf(text string) uint64 { return xxhash.Sum64String(text) }
 
-func isDraining(err error) bool { return errors.Is(err, upstream.ErrDraining) }
+// isDraining reports whether the upstream itself said that it drains. An owner's
+// refusal is no signal: the owner may not have heard yet that the upstream is back,
+// and a signal that names no incarnation would close the new one for good.
+func isDraining(err error) bool {
+	var unsent *unsentError
+	return errors.Is(err, upstream.ErrDraining) && !errors.As(err, &unsent)
+}
--- a/internal/daemon/reopen.go
+++ b/internal/daemon/reopen.go
@@ -7,6 +7,7 @@
 
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/peer"
+	"github.com/marigoldlever/marigoldlever/upstream"
 	"github.com/marigoldlever/marigoldlever/upstream/upstreamhttp"
 )
 
@@ -98,6 +99,7 @@
 		Replica: replica, Incarnation: s.Incarnation, SentAt: sentAt, Draining: s.Draining,
 	})
 	r.daemon.chill(cold)
+	r.daemon.gateway.report(replica, s.Incarnation, upstream.Load{Draining: s.Draining})
 }
 
 func (r *reopener) handle(_ context.Context, request peer.Request) (any, error) {
