--- a/upstream/upstreamhttp/sendtrace.go
+++ b/internal/sendtrace/sendtrace.go
@@ -1,4 +1,7 @@
-package upstreamhttp
+// Package sendtrace tells whether an HTTP request surely never left this host. The
+// clients of the platform and of upstreams rest on it when they say that a request
+// had no effect.
+package sendtrace
 
 import (
 	"context"
@@ -21,10 +24,11 @@
 	return c.Conn.Write(p)
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// DialFunc opens a connection, as http.Transport.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// counted wraps the connections that dial returns.
-func counted(dial dialFunc) dialFunc {
+// Counted returns dial with connections that count what is written to them.
+func Counted(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -34,19 +38,20 @@
 	}
 }
 
-// sendTrace tells which connection a request used and whether any byte of the
+// Trace tells which connection a request used and whether any byte of the
 // request reached it.
-type sendTrace struct {
+type Trace struct {
 	mu    sync.Mutex
 	conn  net.Conn
 	start int64
 }
 
-func (t *sendTrace) attach(ctx context.Context) context.Context {
+// Attach returns ctx for the request that the trace follows.
+func (t *Trace) Attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 }
 
-func (t *sendTrace) gotConn(info httptrace.GotConnInfo) {
+func (t *Trace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conn = info.Conn
@@ -55,10 +60,10 @@
 	}
 }
 
-// sent reports whether the upstream may have seen any part of the request.
+// Sent reports whether the server may have seen any part of the request.
 // Call it only after the round trip has returned. A connection that is not
 // counted is assumed to have been used.
-func (t *sendTrace) sent() bool {
+func (t *Trace) Sent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn == nil {
@@ -68,8 +73,8 @@
 	return !ok || c.written.Load() != t.start
 }
 
-// drop closes the connection, so that no later request uses it.
-func (t *sendTrace) drop() {
+// Drop closes the connection, so that no later request uses it.
+func (t *Trace) Drop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil {
--- a/upstream/upstreamhttp/client.go
+++ b/upstream/upstreamhttp/client.go
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/marigoldlever/marigoldlever/internal/sendtrace"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -145,7 +146,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline+c.cfg.ReplyGrace)
 	defer cancel()
-	var trace sendTrace
+	var trace sendtrace.Trace
 	a, err := c.exchange(ctx, &trace, address, http.MethodPost, workPath, body)
 	if err != nil {
 		return upstream.Reply{}, exchangeError(ctx, &trace, address, err)
@@ -153,7 +154,7 @@
 	reply, err := a.workReply(r)
 	if errors.Is(err, upstream.ErrMismatch) {
 		c.mismatches.Inc(1)
-		trace.drop()
+		trace.Drop()
 	}
 	if err != nil {
 		return reply, errors.Wrap(err, address)
@@ -168,14 +169,14 @@
 }
 
 // exchange sends one request within the connection limit of the address.
-func (c *Client) exchange(ctx context.Context, trace *sendTrace, address, method, path string, body []byte) (answer, error) {
+func (c *Client) exchange(ctx context.Context, trace *sendtrace.Trace, address, method, path string, body []byte) (answer, error) {
 	t := c.target(address)
 	l, err := t.enter(ctx)
 	if err != nil {
 		return answer{}, errors.Wrap(err, "no connection is free")
 	}
 	defer t.leave(l)
-	req, err := http.NewRequestWithContext(trace.attach(ctx), method, targetURL(address, path), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(trace.Attach(ctx), method, targetURL(address, path), bytes.NewReader(body))
 	if err != nil {
 		return answer{}, err
 	}
@@ -206,9 +207,9 @@
 }
 
 // exchangeError converts the error of an exchange without a whole reply.
-func exchangeError(ctx context.Context, trace *sendTrace, address string, err error) error {
+func exchangeError(ctx context.Context, trace *sendtrace.Trace, address string, err error) error {
 	switch {
-	case !trace.sent():
+	case !trace.Sent():
 		return failure(upstream.ErrConnect, address, err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failure(upstream.ErrTimeout, address, err)
--- a/upstream/upstreamhttp/reply.go
+++ b/upstream/upstreamhttp/reply.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/internal/sendtrace"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -105,7 +106,7 @@
 // Health asks the upstream at address for its report, within the connection
 // limit. The caller bounds the time by ctx.
 func (c *Client) Health(ctx context.Context, address string) (Health, error) {
-	var trace sendTrace
+	var trace sendtrace.Trace
 	a, err := c.exchange(ctx, &trace, address, http.MethodGet, healthPath, nil)
 	if err != nil {
 		return Health{}, exchangeError(ctx, &trace, address, err)
--- a/upstream/upstreamhttp/target.go
+++ b/upstream/upstreamhttp/target.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/marigoldlever/marigoldlever/internal/sendtrace"
 )
 
 const (
@@ -42,7 +44,7 @@
 
 func newLane(connections int) *lane {
 	transport := &http.Transport{
-		DialContext:         counted((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		DialContext:         sendtrace.Counted((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		DisableCompression:  true,
 		MaxConnsPerHost:     max(connections, 1),
 		MaxIdleConnsPerHost: max(connections, 1),
