once: report a resend as resent before its outcome is written

Cause: a resend that met an attempt of the same machine was told reason done, so that try printed resent=false for it (seen in the walk-through).

After: try prints resent=true; the package's histories and properties pass.

--- a/once/action.go
+++ b/once/action.go
@@ -25,7 +25,8 @@
 const (
 	// ReasonDone is a result that this host received from the upstream.
 	ReasonDone Reason = "done"
-	// ReasonRecorded is an outcome found in the journal.
+	// ReasonRecorded is an outcome of an earlier submission, found in the journal or
+	// about to be written there.
 	ReasonRecorded Reason = "recorded"
 	// ReasonClaimed is a record of another attempt without an outcome.
 	ReasonClaimed Reason = "claimed"
--- a/once/attempt.go
+++ b/once/attempt.go
@@ -37,7 +37,7 @@
 		return m.answer(o, Outcome{Run: RunMayHaveRun, Reason: ReasonKeyReused})
 	}
 	if a.outcome != nil {
-		return m.answer(o, *a.outcome)
+		return m.answer(o, resent(*a.outcome))
 	}
 	a.waiters = append(a.waiters, o)
 	return nil
@@ -91,11 +91,20 @@
 	})
 }
 
+// resent is the outcome of an attempt as another submission of its key gets it: the
+// same as from the journal, into which it may not be written yet.
+func resent(out Outcome) Outcome {
+	if out.Run == RunRan {
+		out.Reason = ReasonRecorded
+	}
+	return out
+}
+
 // tell answers everyone who waits for an attempt.
 func (m *Machine) tell(a *attempt, out Outcome) []Action {
 	acts := m.answer(a.op, out)
 	for _, w := range a.waiters {
-		acts = append(acts, m.answer(w, out)...)
+		acts = append(acts, m.answer(w, resent(out))...)
 	}
 	a.waiters = nil
 	return acts
