--- /dev/null
+++ b/internal/api/server_test.go
@@ -0,0 +1,91 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// blockingService answers queries when release is closed.
+type blockingService struct {
+	Service
+	started, release chan struct{}
+}
+
+func (s *blockingService) Query(context.Context, QueryRequest) (Answer, error) {
+	s.started <- struct{}{}
+	<-s.release
+	return Answer{Snapshot: 7}, nil
+}
+
+func newTestServer(service Service) http.Handler {
+	limits := Limits{BodyBytes: 1024, ConcurrentRequests: 1, HeaderTimeout: time.Second, BodyTimeout: time.Second, LongestDeadline: time.Second}
+	return NewServer(service, limits, metrics.NewRegistry()).routes()
+}
+
+func post(h http.Handler, path, body string, header map[string]string) (int, Problem) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	var p Problem
+	_ = json.Unmarshal(w.Body.Bytes(), &p)
+	return w.Code, p
+}
+
+// Guards against bad input that ends a daemon, is taken in part, or is refused
+// without a typed problem; and against a refusal that says not_run for a resend
+// whose journal was not read.
+func TestBadInputIsRefused(t *testing.T) {
+	h := newTestServer(&blockingService{})
+	resend := map[string]string{HeaderIdempotencyKey: "1-abcdefgh"}
+	first := map[string]string{HeaderIdempotencyKey: "1-abcdefgh", HeaderSubmissionNumber: "1"}
+	for _, test := range []struct {
+		name, path, body string
+		header           map[string]string
+		kind             Kind
+		run              Run
+	}{
+		{"no JSON", "/v1/query", "{", nil, KindInvalid, NotRun},
+		{"unknown field", "/v1/query", `{"contrct":"a"}`, nil, KindInvalid, NotRun},
+		{"two values", "/v1/query", `{"contract":"a"}{}`, nil, KindInvalid, NotRun},
+		{"too large", "/v1/query", `{"contract":"` + strings.Repeat("a", 2000) + `"}`, nil, KindTooLarge, NotRun},
+		{"no key", "/v1/execute", `{}`, nil, KindInvalid, NotRun},
+		{"resend", "/v1/execute", `{`, resend, KindInvalid, MayHaveRun},
+		{"first submission", "/v1/execute", `{`, first, KindInvalid, NotRun},
+		{"unknown path", "/v1/nothing", `{}`, nil, KindNotFound, NotRun},
+	} {
+		status, p := post(h, test.path, test.body, test.header)
+		if status < 400 || status >= 500 || p.Kind != test.kind || p.Run != test.run {
+			t.Errorf("%s: status %d, kind %q, run %q", test.name, status, p.Kind, p.Run)
+		}
+	}
+}
+
+// Guards against requests above the concurrency limit that wait instead of being
+// refused at once.
+func TestConcurrencyLimit(t *testing.T) {
+	s := &blockingService{started: make(chan struct{}), release: make(chan struct{})}
+	h := newTestServer(s)
+	done := make(chan int, 1)
+	go func() {
+		status, _ := post(h, "/v1/query", `{"contract":"a"}`, nil)
+		done <- status
+	}()
+	<-s.started
+	if status, p := post(h, "/v1/query", `{"contract":"a"}`, nil); status != http.StatusTooManyRequests || p.Kind != KindOverloaded || p.RetryAfterMS == 0 {
+		t.Errorf("second request: status %d, %+v", status, p)
+	}
+	close(s.release)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("first request: status %d", status)
+	}
+}
