daemon: keep the caller's trace on the dispatch of execute requests

Change: the dispatch carries the span of the waiting caller, also from another host.

Platform calls have spans of their own traces, since one update serves many requests.

--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
 	"github.com/marigoldlever/marigoldlever/once"
@@ -113,6 +114,7 @@
 		return nil, errLeaving
 	}
 	defer r.end()
+	ctx = tracing.Extract(ctx, peer.Traceparent(ctx))
 	return r.submit(ctx, once.Submission{
 		ID: m.ID, Key: m.Key, Number: m.Number, Contract: m.Contract, Service: m.Service, Body: m.Body,
 		Deadline: time.Now().Add(time.Duration(m.DeadlineUS) * time.Microsecond),
@@ -170,10 +172,20 @@
 	if r.begin() {
 		defer r.end()
 	}
-	result := r.dispatcher.dispatch(r.ctx, a.Submission, a.Attempt)
+	ctx := trace.ContextWithSpanContext(r.ctx, r.spanOf(a.Submission.ID))
+	result := r.dispatcher.dispatch(ctx, a.Submission, a.Attempt)
 	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
 }
 
+// spanOf returns the span of the caller that waits for a submission.
+func (r *journalRunner) spanOf(id string) trace.SpanContext {
+	w, ok := r.waiting.Load(id)
+	if !ok {
+		return trace.SpanContext{}
+	}
+	return trace.SpanContextFromContext(w.(*waitingCaller).ctx)
+}
+
 // flush waits until every outcome is written: a resend would otherwise get
 // may_have_run for a request that is known to have run. A platform that is down
 // must not hold up a planned stop for long.
