--- a/internal/daemon/directory.go
+++ b/internal/daemon/directory.go
@@ -212,14 +212,20 @@
 	return shares
 }
 
-// allowed implements rights.
-func (d *directory) allowed(now time.Time, replica string) int {
+// replicaHere returns a replica of this data centre; only those can be owned here.
+func (d *directory) replicaHere(id string) (*configuration.Replica, bool) {
 	active := d.active()
 	if active == nil {
-		return 0
+		return nil, false
 	}
-	_, r, ok := active.Replica(replica)
-	if !ok || r.DataCentre != d.dataCentre {
+	_, r, ok := active.Replica(id)
+	return r, ok && r.DataCentre == d.dataCentre
+}
+
+// allowed implements rights.
+func (d *directory) allowed(now time.Time, replica string) int {
+	r, ok := d.replicaHere(replica)
+	if !ok {
 		return 0
 	}
 	limits := d.limits(replica)
@@ -230,12 +236,8 @@
 
 // place implements rights.
 func (d *directory) place(replica string) (ownedShare, bool) {
-	active := d.active()
-	if active == nil {
-		return ownedShare{}, false
-	}
-	_, r, ok := active.Replica(replica)
-	if !ok || r.DataCentre != d.dataCentre {
+	r, ok := d.replicaHere(replica)
+	if !ok {
 		return ownedShare{}, false
 	}
 	shares := d.allOwners(replica)
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
+	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -24,23 +25,23 @@
 		if !ok {
 			return upstream.Reply{}, errNoOwner
 		}
-		a.tried = append(a.tried, owner.Member.ID)
-		reply, err := r.executeAt(ctx, owner.Member.ID, owner.Member.PeerAddress, a)
+		a.assign(owner.Member)
+		reply, err := r.executeAt(ctx, owner.Member, a.attempt)
 		if !errors.Is(err, errNotOwner) {
 			return reply, err
 		}
 	}
 }
 
-func (r *router) executeAt(ctx context.Context, id, address string, a *routed) (upstream.Reply, error) {
-	if id == r.self {
-		return r.executeHere(ctx, a.attempt)
+func (r *router) executeAt(ctx context.Context, owner ownership.Member, a attempt) (upstream.Reply, error) {
+	if owner.ID == r.self {
+		return r.executeHere(ctx, a)
 	}
 	ctx, span := r.tracer.Start(ctx, "owner.execute", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	var done workDone
-	item := newWorkItem(a.attempt, time.Now())
-	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), address, methodWorkExecute, item, &done)
+	item := newWorkItem(a, time.Now())
+	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), owner.PeerAddress, methodWorkExecute, item, &done)
 	if err != nil {
 		return upstream.Reply{}, ownerError(err)
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -229,7 +229,7 @@
 	due := make(map[string]capacity.Notice)
 	for _, l := range g.all() {
 		l.machine.view(func(time.Time) {
-			if l.owned.rank == 0 && l.owned.owners > 1 {
+			if share := l.share(); share.rank == 0 && share.owners > 1 {
 				due[l.replica] = l.limiter.Level(now)
 			}
 		})
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -76,11 +76,7 @@
 // forward passes a submission on. Only an error that proves that the writer did
 // not get it lets this host submit it itself.
 func (r *journalRunner) forward(f once.Forward) {
-	ctx := r.ctx
-	if w, ok := r.waiting.Load(f.Submission.ID); ok {
-		ctx = w.(*waitingCaller).ctx
-	}
-	ctx, cancel := context.WithDeadline(ctx, f.Until)
+	ctx, cancel := context.WithDeadline(r.contextOf(f.Submission.ID), f.Until)
 	defer cancel()
 	s := f.Submission
 	message := onceRequest{
@@ -172,18 +168,19 @@
 	if r.begin() {
 		defer r.end()
 	}
-	ctx := trace.ContextWithSpanContext(r.ctx, r.spanOf(a.Submission.ID))
+	span := trace.SpanContextFromContext(r.contextOf(a.Submission.ID))
+	ctx := trace.ContextWithSpanContext(r.ctx, span)
 	result := r.dispatcher.dispatch(ctx, a.Submission, a.Attempt)
 	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
 }
 
-// spanOf returns the span of the caller that waits for a submission.
-func (r *journalRunner) spanOf(id string) trace.SpanContext {
+// contextOf returns the context of the caller that waits for a submission.
+func (r *journalRunner) contextOf(id string) context.Context {
 	w, ok := r.waiting.Load(id)
 	if !ok {
-		return trace.SpanContext{}
+		return r.ctx
 	}
-	return trace.SpanContextFromContext(w.(*waitingCaller).ctx)
+	return w.(*waitingCaller).ctx
 }
 
 // flush waits until every outcome is written: a resend would otherwise get
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -18,9 +18,8 @@
 	replica string
 	machine stepper[capacity.Changes]
 	limiter *capacity.Limiter
-	owned   ownedShare                 // guarded by machine
-	current atomic.Pointer[ownedShare] // the same, for readers without the lock
-	waiting map[string]*job            // queued jobs, guarded by machine
+	current atomic.Pointer[ownedShare]
+	waiting map[string]*job // queued jobs, guarded by machine
 }
 
 func newLane(g *gateway, replica string, share ownedShare) (*lane, error) {
@@ -50,7 +49,7 @@
 // noticed tells the other owners at once when the event lowered the ramp: until
 // they know of a cold start they go on with their own shares.
 func (l *lane) noticed(now time.Time, c capacity.Changes) []capacity.Changes {
-	if notice, due := l.limiter.TakeNotice(now); due && l.owned.owners > 1 {
+	if notice, due := l.limiter.TakeNotice(now); due && l.share().owners > 1 {
 		go l.gateway.tell(l.replica, notice)
 	}
 	return []capacity.Changes{c}
@@ -61,7 +60,6 @@
 	l.current.Store(&share)
 	l.gateway.connect(share.address, share.connections)
 	l.step(func(now time.Time) capacity.Changes {
-		l.owned = share
 		first := l.limiter.SetRank(now, share.rank, share.owners)
 		second := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
 		return merge(first, second)
