--- a/configuration/bench_test.go
+++ b/configuration/bench_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // Target size of docs/design.md, section 1.6.
@@ -76,7 +76,7 @@
 }
 
 // headOf returns a head of DefaultHeadBytes or a little more.
-func headOf(b *testing.B, s *snapshot) platform.Object {
+func headOf(b *testing.B, s *snapshot) objectstore.Object {
 	for n := 1; ; n++ {
 		h := &head{Format: headFormat, Number: s.Number, Digest: s.Digest, Patches: s.Patches[len(s.Patches)-n:]}
 		h.Checkpoint = checkpoint{Number: s.Number - uint64(n)}
@@ -85,7 +85,7 @@
 			b.Fatal(err)
 		}
 		if len(value) >= DefaultHeadBytes {
-			return platform.Object{Name: ObjectName, Version: s.Number, Value: value}
+			return objectstore.Object{Name: ObjectName, Version: s.Number, Value: value}
 		}
 	}
 }
--- a/configuration/edit.go
+++ b/configuration/edit.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // This file holds the steps of one patch: read the head, and the checkpoint if
@@ -13,18 +13,18 @@
 // head is large; write the head.
 
 // ReadDone takes the result of a Read. An absent object is given as
-// platform.ErrNotFound. Results of calls that were given up are ignored.
-func (e *Editor) ReadDone(now time.Time, call uint64, object platform.Object, err error) []EditorAction {
+// objectstore.ErrNotFound. Results of calls that were given up are ignored.
+func (e *Editor) ReadDone(now time.Time, call uint64, object objectstore.Object, err error) []EditorAction {
 	s := e.current(call)
 	if s == nil {
 		return nil
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		e.pause(now, s)
 		return nil
 	}
 	if err != nil {
-		object = platform.Object{}
+		object = objectstore.Object{}
 	}
 	switch s.phase {
 	case reading:
@@ -40,7 +40,7 @@
 
 // WriteDone takes the result of a Write. Results of calls that were given up
 // are ignored.
-func (e *Editor) WriteDone(now time.Time, call uint64, object platform.Object, err error) []EditorAction {
+func (e *Editor) WriteDone(now time.Time, call uint64, object objectstore.Object, err error) []EditorAction {
 	s := e.current(call)
 	switch {
 	case s == nil:
@@ -55,7 +55,7 @@
 }
 
 // evaluate takes the head as it was read.
-func (e *Editor) evaluate(now time.Time, s *submission, object platform.Object) []EditorAction {
+func (e *Editor) evaluate(now time.Time, s *submission, object objectstore.Object) []EditorAction {
 	if object.Version > s.uncertainBase {
 		s.uncertain = false // a lost write can no longer take effect
 	}
@@ -75,7 +75,7 @@
 }
 
 // loaded takes the checkpoint that the head names.
-func (e *Editor) loaded(now time.Time, s *submission, object platform.Object) []EditorAction {
+func (e *Editor) loaded(now time.Time, s *submission, object objectstore.Object) []EditorAction {
 	o, err := openValue(object.Value)
 	if err != nil {
 		return e.answer(now, s, Result{}, err)
@@ -137,13 +137,13 @@
 
 // checkpointWritten takes the result of writing a checkpoint. After a lost
 // answer or a conflict the slot tells whether the checkpoint is there.
-func (e *Editor) checkpointWritten(now time.Time, s *submission, object platform.Object, err error) []EditorAction {
+func (e *Editor) checkpointWritten(now time.Time, s *submission, object objectstore.Object, err error) []EditorAction {
 	switch {
 	case err == nil:
 		return e.checkpointed(now, s, object.Version)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		return e.answer(now, s, Result{}, errors.Mark(err, ErrTooLarge))
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget):
+	case errors.IsAny(err, objectstore.ErrUnavailable, objectstore.ErrBudget):
 		e.pause(now, s)
 		return nil
 	default:
@@ -153,7 +153,7 @@
 
 // probed takes the spare slot. A slot with a higher number tells that the head
 // has changed; one with a lower number is named by no later head.
-func (e *Editor) probed(now time.Time, s *submission, object platform.Object) []EditorAction {
+func (e *Editor) probed(now time.Time, s *submission, object objectstore.Object) []EditorAction {
 	if object.Version == 0 {
 		return e.writeCheckpoint(now, s, 0)
 	}
@@ -186,22 +186,22 @@
 	if err != nil {
 		return e.answer(now, s, Result{}, err)
 	}
-	s.written = Result{Number: s.next.Number, Digest: s.next.Digest, Object: platform.Object{Name: ObjectName, Value: value}}
+	s.written = Result{Number: s.next.Number, Digest: s.next.Digest, Object: objectstore.Object{Name: ObjectName, Value: value}}
 	return []EditorAction{e.put(s, writing, ObjectName, s.object.Version, value)}
 }
 
 // headWritten takes the result of writing the head.
-func (e *Editor) headWritten(now time.Time, s *submission, object platform.Object, err error) []EditorAction {
+func (e *Editor) headWritten(now time.Time, s *submission, object objectstore.Object, err error) []EditorAction {
 	switch {
 	case err == nil:
 		result := s.written
 		result.Object.Version = object.Version
 		return e.answer(now, s, result, nil)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return []EditorAction{e.read(s)}
-	case errors.Is(err, platform.ErrTooLarge):
-		return e.answer(now, s, Result{}, tooLarge("stored head", len(s.written.Object.Value), platform.MaxValueBytes))
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget):
+	case errors.Is(err, objectstore.ErrTooLarge):
+		return e.answer(now, s, Result{}, tooLarge("stored head", len(s.written.Object.Value), objectstore.MaxValueBytes))
+	case errors.IsAny(err, objectstore.ErrUnavailable, objectstore.ErrBudget):
 		e.pause(now, s)
 		return nil
 	default: // ErrUnknownOutcome and any error that does not rule it out
--- a/configuration/editor.go
+++ b/configuration/editor.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // Defaults of EditorConfig.
@@ -76,7 +76,7 @@
 	Resent bool
 	// Object is the stored object that shows the patch; Tracker.Platform takes
 	// it, so that the version is in force on this host at once.
-	Object platform.Object
+	Object objectstore.Object
 }
 
 // Editor turns patches into conditional updates of ObjectName. It works on one
@@ -109,10 +109,10 @@
 	phase   phase
 	call    uint64
 	retryAt time.Time
-	object  platform.Object // the head as it was read
-	head    *head           // its content
-	state   *snapshot       // the version of head
-	next    *snapshot       // the version that the patch leads to
+	object  objectstore.Object // the head as it was read
+	head    *head              // its content
+	state   *snapshot          // the version of head
+	next    *snapshot          // the version that the patch leads to
 	// written is the result if the write on object takes effect, without the
 	// new version of the object.
 	written Result
--- a/configuration/editor_test.go
+++ b/configuration/editor_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 const testDeadline = time.Second
@@ -151,7 +151,7 @@
 	if !errors.Is(got["a"], ErrUnknownOutcome) || !errors.Is(got["b"], ErrUnavailable) {
 		t.Errorf("got %v", got)
 	}
-	if late := e.WriteDone(start, write.Call, platform.Object{Version: 2}, nil); len(late) != 0 {
+	if late := e.WriteDone(start, write.Call, objectstore.Object{Version: 2}, nil); len(late) != 0 {
 		t.Errorf("a late result led to %v", late)
 	}
 }
@@ -166,7 +166,7 @@
 	call := e.Submit(start, Submission{Token: "a", Patch: p, Deadline: start.Add(testDeadline)})[0].(Read).Call
 	now := start
 	for range 3 {
-		if actions := e.ReadDone(now, call, platform.Object{}, platform.ErrUnavailable); len(actions) != 0 {
+		if actions := e.ReadDone(now, call, objectstore.Object{}, objectstore.ErrUnavailable); len(actions) != 0 {
 			t.Fatalf("got %v", actions)
 		}
 		now, _ = e.Next()
@@ -177,7 +177,7 @@
 	}
 	o := stored(t, s)
 	write := o.read(now, e, e.ReadDone(now, call, o[ObjectName], nil))[0].(Write)
-	answer := answerOf(t, e.WriteDone(now, write.Call, platform.Object{Version: 2}, nil))
+	answer := answerOf(t, e.WriteDone(now, write.Call, objectstore.Object{Version: 2}, nil))
 	if answer.Err != nil || answer.Result.Number != 2 || answer.Result.Object.Version != 2 || answer.Result.Resent {
 		t.Errorf("got %+v", answer)
 	}
--- a/configuration/example_test.go
+++ b/configuration/example_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/marigoldlever/marigoldlever/configuration"
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 const firstDocument = `{
@@ -31,9 +31,9 @@
 		},
 	})
 	read := actions[0].(configuration.Read)
-	actions = editor.ReadDone(now, read.Call, platform.Object{}, platform.ErrNotFound)
+	actions = editor.ReadDone(now, read.Call, objectstore.Object{}, objectstore.ErrNotFound)
 	write := actions[0].(configuration.Write)
-	actions = editor.WriteDone(now, write.Call, platform.Object{Version: 1}, nil)
+	actions = editor.WriteDone(now, write.Call, objectstore.Object{Version: 1}, nil)
 	answer := actions[0].(configuration.Answer)
 	fmt.Println("accepted as", answer.Result.Number)
 
--- a/configuration/head.go
+++ b/configuration/head.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // The configuration is stored in three objects. ObjectName is the head: it
@@ -87,7 +87,7 @@
 }
 
 // openHead decodes an object, which may be absent.
-func openHead(object platform.Object) (*head, error) {
+func openHead(object objectstore.Object) (*head, error) {
 	if object.Version == 0 {
 		return &head{Format: headFormat, Digest: emptySnapshot().Digest}, nil
 	}
@@ -108,8 +108,8 @@
 // encode returns the stored value of the head.
 func (h *head) encode(c *compressor) ([]byte, error) {
 	value, err := c.compress(canonical(h))
-	if err == nil && len(value) > platform.MaxValueBytes {
-		return nil, tooLarge("stored head", len(value), platform.MaxValueBytes)
+	if err == nil && len(value) > objectstore.MaxValueBytes {
+		return nil, tooLarge("stored head", len(value), objectstore.MaxValueBytes)
 	}
 	return value, err
 }
--- a/configuration/head_test.go
+++ b/configuration/head_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // everyPatch makes a checkpoint before each patch.
@@ -48,7 +48,7 @@
 // against a second editor with the same checkpoint, that stop later patches or
 // write a head before its checkpoint is known to be there.
 func TestEditorFindsCheckpoint(t *testing.T) {
-	for _, err := range []error{nil, platform.ErrUnknownOutcome, platform.ErrConflict, platform.ErrUnavailable} {
+	for _, err := range []error{nil, objectstore.ErrUnknownOutcome, objectstore.ErrConflict, objectstore.ErrUnavailable} {
 		for _, landed := range []bool{false, true} {
 			o := objects{}
 			o.accept(t, 4)
@@ -58,7 +58,7 @@
 				_, _ = o.put(w.Name, w.Base, w.Value)
 			}
 			if err != nil {
-				e.WriteDone(start, w.Call, platform.Object{}, err)
+				e.WriteDone(start, w.Call, objectstore.Object{}, err)
 			} // else the editor crashed
 			o.accept(t, 6)
 			if !landed {
@@ -90,7 +90,7 @@
 		e := NewEditor(everyPatch)
 		w := o.begin(t, e, 2)
 		o.accept(t, 5) // the slot has version 2, then version 4
-		probe := e.WriteDone(start, w.Call, platform.Object{}, platform.ErrConflict)[0].(Read)
+		probe := e.WriteDone(start, w.Call, objectstore.Object{}, objectstore.ErrConflict)[0].(Read)
 		object := o[probe.Name]
 		if !checked {
 			object.Value = lower
--- a/configuration/helpers_test.go
+++ b/configuration/helpers_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/marigoldlever/marigoldlever/contract"
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -104,7 +104,7 @@
 }
 
 // objects is the content of a store.
-type objects map[string]platform.Object
+type objects map[string]objectstore.Object
 
 // stored returns a head without patches and a checkpoint of its version.
 func stored(t testing.TB, s *snapshot) objects {
@@ -121,20 +121,20 @@
 }
 
 // get returns an object as a platform does.
-func (o objects) get(name string) (platform.Object, error) {
+func (o objects) get(name string) (objectstore.Object, error) {
 	if o[name].Version == 0 {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o[name], nil
 }
 
 // put updates an object if it has the base version.
-func (o objects) put(name string, base uint64, value []byte) (platform.Object, error) {
+func (o objects) put(name string, base uint64, value []byte) (objectstore.Object, error) {
 	if o[name].Version != base {
-		return platform.Object{}, platform.ErrConflict
+		return objectstore.Object{}, objectstore.ErrConflict
 	}
-	o[name] = platform.Object{Name: name, Version: base + 1, Value: value}
-	return platform.Object{Name: name, Version: base + 1}, nil
+	o[name] = objectstore.Object{Name: name, Version: base + 1, Value: value}
+	return objectstore.Object{Name: name, Version: base + 1}, nil
 }
 
 // read answers the reads of an editor until it asks for something else.
--- a/configuration/load.go
+++ b/configuration/load.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // checkpointLoad is a head whose checkpoint is needed.
@@ -44,7 +44,7 @@
 // CheckpointRead takes the result of a ReadCheckpoint. Results of calls that
 // were given up are ignored. A failed read is tried again. After a returned
 // error the head is given up until the platform shows the next one.
-func (t *Tracker) CheckpointRead(now time.Time, call uint64, object platform.Object, err error) ([]TrackerAction, error) {
+func (t *Tracker) CheckpointRead(now time.Time, call uint64, object objectstore.Object, err error) ([]TrackerAction, error) {
 	l := t.load
 	if l == nil || l.call != call {
 		return nil, nil
--- a/configuration/patch_test.go
+++ b/configuration/patch_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // drawPatch draws a patch of a sample document with 3 services, which may fail.
@@ -206,7 +206,7 @@
 	}
 	t.Logf("%d replicas: document %d bytes, stored value %d bytes, of these the document %d and the head with %d records %d",
 		targetReplicas, len(canonical(s.Document)), len(value), len(document), len(s.Patches), len(value)-len(document))
-	if len(value) > platform.MaxValueBytes*3/4 || len(s.Patches) != maxRecords {
+	if len(value) > objectstore.MaxValueBytes*3/4 || len(s.Patches) != maxRecords {
 		t.Errorf("stored value has %d bytes", len(value))
 	}
 }
--- a/configuration/register_test.go
+++ b/configuration/register_test.go
@@ -12,7 +12,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // variant switches one mechanism off, to show that the model check needs it.
@@ -149,11 +149,11 @@
 }
 
 // get reads the store after a while; some calls fail.
-func (s *simulation) get(name string, done func(platform.Object, error)) {
+func (s *simulation) get(name string, done func(objectstore.Object, error)) {
 	s.after(5*time.Millisecond, func() {
 		object, err := s.stored.get(s.slot(name))
 		if s.rng.IntN(10) == 0 {
-			object, err = platform.Object{}, platform.ErrUnavailable
+			object, err = objectstore.Object{}, objectstore.ErrUnavailable
 		}
 		s.after(5*time.Millisecond, func() { done(object, err) })
 	})
@@ -161,8 +161,8 @@
 
 // put writes the store after a while. Some calls fail, some answers are lost
 // before, after or long before the write takes effect.
-func (s *simulation) put(w Write, done func(platform.Object, error)) {
-	apply := func() (platform.Object, error) {
+func (s *simulation) put(w Write, done func(objectstore.Object, error)) {
+	apply := func() (objectstore.Object, error) {
 		name, base := s.slot(w.Name), w.Base
 		if s.variant == unconditionalPuts && name == ObjectName || s.variant == unconditionalCheckpoints && name != ObjectName {
 			base = s.stored[name].Version
@@ -175,15 +175,15 @@
 	}
 	if s.variant == headFirst && w.Name != ObjectName {
 		s.after(100*time.Millisecond, func() { _, _ = apply() })
-		done(platform.Object{Version: w.Base + 1}, nil)
+		done(objectstore.Object{Version: w.Base + 1}, nil)
 		return
 	}
 	fault := s.rng.IntN(10)
 	s.after(5*time.Millisecond, func() {
-		object, err := platform.Object{}, error(platform.ErrUnknownOutcome)
+		object, err := objectstore.Object{}, error(objectstore.ErrUnknownOutcome)
 		switch fault {
 		case 0:
-			err = platform.ErrUnavailable
+			err = objectstore.ErrUnavailable
 		case 1: // the request is lost
 		case 2: // the request is delayed
 			s.after(100*time.Millisecond, func() { _, _ = apply() })
@@ -204,15 +204,15 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Read:
-			s.get(a.Name, func(o platform.Object, err error) {
+			s.get(a.Name, func(o objectstore.Object, err error) {
 				s.perform(host, e, e.ReadDone(s.now, a.Call, s.falsify(o), err))
 			})
 		case Write:
-			s.put(a, func(o platform.Object, err error) {
-				if s.variant == noCheckpointReadBack && a.Name != ObjectName && errors.Is(err, platform.ErrUnknownOutcome) {
-					o, err = platform.Object{Version: a.Base + 1}, nil
+			s.put(a, func(o objectstore.Object, err error) {
+				if s.variant == noCheckpointReadBack && a.Name != ObjectName && errors.Is(err, objectstore.ErrUnknownOutcome) {
+					o, err = objectstore.Object{Version: a.Base + 1}, nil
 				}
-				if s.variant == noReadBack && errors.Is(err, platform.ErrUnknownOutcome) {
+				if s.variant == noReadBack && errors.Is(err, objectstore.ErrUnknownOutcome) {
 					s.restart(host, e, ErrUnavailable)
 					return
 				}
@@ -236,7 +236,7 @@
 }
 
 // falsify changes what an editor reads if the variant asks for it.
-func (s *simulation) falsify(o platform.Object) platform.Object {
+func (s *simulation) falsify(o objectstore.Object) objectstore.Object {
 	switch {
 	case s.variant == noIDLookUp && o.Name == ObjectName:
 		h, _ := openHead(o)
@@ -329,8 +329,8 @@
 // read records one read of the register and passes the number on.
 func (s *simulation) read(caller int, then func(uint64)) {
 	call := s.now.UnixNano()
-	s.get(ObjectName, func(o platform.Object, err error) {
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	s.get(ObjectName, func(o objectstore.Object, err error) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			s.after(10*time.Millisecond, func() { s.read(caller, then) })
 			return
 		}
--- a/configuration/tracker.go
+++ b/configuration/tracker.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // Defaults of TrackerConfig. An accepted version has to be in force everywhere
@@ -137,7 +137,7 @@
 // Platform takes ObjectName as it was read, watched or written. After an error
 // ObjectVersion is unchanged, so that a watch returns the object again; the
 // shell has to pause before that.
-func (t *Tracker) Platform(now time.Time, object platform.Object) ([]TrackerAction, error) {
+func (t *Tracker) Platform(now time.Time, object objectstore.Object) ([]TrackerAction, error) {
 	if object.Version == 0 {
 		return nil, nil
 	}
--- a/configuration/tracker_test.go
+++ b/configuration/tracker_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // versionChain returns versions 0 to n of a small document. Version 5 has a
@@ -186,7 +186,7 @@
 	object, err := o.get(read.Name)
 	switch rapid.IntRange(0, 4).Draw(t, "fault") {
 	case 0:
-		err = platform.ErrUnavailable
+		err = objectstore.ErrUnavailable
 	case 1:
 		object.Value = object.Value[:len(object.Value)/2]
 	}
--- a/configuration/value.go
+++ b/configuration/value.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // The value of a whole version, in a checkpoint or from a peer, is a gzip stream
@@ -80,11 +80,11 @@
 			return nil, err
 		}
 		size := len(data) + len(document)
-		if size <= platform.MaxValueBytes {
+		if size <= objectstore.MaxValueBytes {
 			return append(data, document...), nil
 		}
 		if len(records) <= 1 {
-			return nil, tooLarge("stored value", size, platform.MaxValueBytes)
+			return nil, tooLarge("stored value", size, objectstore.MaxValueBytes)
 		}
 	}
 }
@@ -97,7 +97,7 @@
 	if size > MaxDocumentBytes {
 		return tooLarge("document", size, MaxDocumentBytes)
 	}
-	if size <= platform.MaxValueBytes/2 {
+	if size <= objectstore.MaxValueBytes/2 {
 		return nil
 	}
 	_, err := c.encodeValue(v)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -10,8 +10,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/configuration"
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 const (
@@ -27,15 +28,15 @@
 // configurationRunner keeps the newest configuration on this host and carries
 // out patches.
 type configurationRunner struct {
-	store   platform.Store
+	store   objectstore.Store
 	node    *peer.Node
 	tracker *configuration.Tracker
 	editor  *configuration.Editor
 	// inForce is called for each version that is put in force, in order.
 	inForce func(*configuration.Active)
 
-	follow  stepper[configuration.TrackerAction]
-	edit    stepper[configuration.EditorAction]
+	follow  stepper.Stepper[configuration.TrackerAction]
+	edit    stepper.Stepper[configuration.EditorAction]
 	answers sync.Map // token to chan configuration.Answer
 	apply   sync.Mutex
 	applied uint64
@@ -47,15 +48,15 @@
 	stopWatch context.CancelFunc // guarded by watchMu
 }
 
-func newConfigurationRunner(ctx context.Context, wait *sync.WaitGroup, host string, store platform.Store, node *peer.Node) *configurationRunner {
+func newConfigurationRunner(ctx context.Context, wait *sync.WaitGroup, host string, store objectstore.Store, node *peer.Node) *configurationRunner {
 	r := &configurationRunner{
 		store: store, node: node, ctx: ctx, wait: wait,
 		tracker: configuration.NewTracker(configuration.TrackerConfig{Host: host}),
 		editor:  configuration.NewEditor(configuration.EditorConfig{}),
 		inForce: func(*configuration.Active) {},
 	}
-	r.follow.tick, r.follow.next, r.follow.perform = r.tracker.Tick, r.tracker.Next, r.performTracker
-	r.edit.tick, r.edit.next, r.edit.perform = r.editor.Tick, r.editor.Next, r.performEditor
+	r.follow.Tick, r.follow.Next, r.follow.Perform = r.tracker.Tick, r.tracker.Next, r.performTracker
+	r.edit.Tick, r.edit.Next, r.edit.Perform = r.editor.Tick, r.editor.Next, r.performEditor
 	node.Handle(methodConfigFetch, r.handleFetch)
 	return r
 }
@@ -81,7 +82,7 @@
 	r.apply.Lock()
 	defer r.apply.Unlock()
 	var active *configuration.Active
-	r.follow.view(func(time.Time) { active = r.tracker.Active() })
+	r.follow.View(func(time.Time) { active = r.tracker.Active() })
 	if active == nil || active.Number <= r.applied {
 		return
 	}
@@ -93,7 +94,7 @@
 // active returns the version in force, or nil.
 func (r *configurationRunner) active() *configuration.Active {
 	var active *configuration.Active
-	r.follow.view(func(time.Time) { active = r.tracker.Active() })
+	r.follow.View(func(time.Time) { active = r.tracker.Active() })
 	return active
 }
 
@@ -107,15 +108,15 @@
 // peerAt takes the number that a peer holds, as heard by gossip. peer is its peer
 // address.
 func (r *configurationRunner) peerAt(address string, number uint64) {
-	r.follow.step(func(now time.Time) []configuration.TrackerAction { return r.tracker.PeerAt(now, address, number) })
+	r.follow.Step(func(now time.Time) []configuration.TrackerAction { return r.tracker.PeerAt(now, address, number) })
 }
 
 func (r *configurationRunner) peerGone(address string) {
-	r.follow.step(func(now time.Time) []configuration.TrackerAction { return r.tracker.PeerGone(now, address) })
+	r.follow.Step(func(now time.Time) []configuration.TrackerAction { return r.tracker.PeerGone(now, address) })
 }
 
 func (r *configurationRunner) setMembers(live []string) {
-	r.follow.step(func(time.Time) []configuration.TrackerAction { return r.tracker.SetMembers(live) })
+	r.follow.Step(func(time.Time) []configuration.TrackerAction { return r.tracker.SetMembers(live) })
 }
 
 func (r *configurationRunner) fetch(f configuration.Fetch) {
@@ -124,7 +125,7 @@
 	var delta configuration.Delta
 	err := r.node.Call(ctx, f.Peer, methodConfigFetch, fetchConfigRequest{Have: f.Have, Whole: f.Whole}, &delta)
 	var refused error
-	r.follow.step(func(now time.Time) []configuration.TrackerAction {
+	r.follow.Step(func(now time.Time) []configuration.TrackerAction {
 		var actions []configuration.TrackerAction
 		actions, refused = r.tracker.Fetched(now, f.Call, delta, err)
 		return actions
@@ -141,7 +142,7 @@
 	}
 	var delta configuration.Delta
 	var err error
-	r.follow.view(func(time.Time) { delta, err = r.tracker.Delta(f.Have, f.Whole) })
+	r.follow.View(func(time.Time) { delta, err = r.tracker.Delta(f.Have, f.Whole) })
 	return delta, err
 }
 
@@ -173,7 +174,7 @@
 		case err == nil:
 			after = object.Version
 			r.take(object)
-		case errors.Is(err, platform.ErrTimeout):
+		case errors.Is(err, objectstore.ErrTimeout):
 		default:
 			sleep(ctx, watchRetry)
 		}
@@ -181,9 +182,9 @@
 }
 
 // take passes an object that was read, watched or written to the tracker.
-func (r *configurationRunner) take(object platform.Object) {
+func (r *configurationRunner) take(object objectstore.Object) {
 	var refused error
-	r.follow.step(func(now time.Time) []configuration.TrackerAction {
+	r.follow.Step(func(now time.Time) []configuration.TrackerAction {
 		var actions []configuration.TrackerAction
 		actions, refused = r.tracker.Platform(now, object)
 		return actions
@@ -194,7 +195,7 @@
 }
 
 // get reads an object within readTimeout.
-func (r *configurationRunner) get(name string) (platform.Object, error) {
+func (r *configurationRunner) get(name string) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, readTimeout)
 	defer cancel()
 	return r.store.Get(ctx, name)
@@ -204,7 +205,7 @@
 func (r *configurationRunner) readCheckpoint(a configuration.ReadCheckpoint) {
 	object, err := r.get(a.Name)
 	var refused error
-	r.follow.step(func(now time.Time) []configuration.TrackerAction {
+	r.follow.Step(func(now time.Time) []configuration.TrackerAction {
 		var actions []configuration.TrackerAction
 		actions, refused = r.tracker.CheckpointRead(now, a.Call, object, err)
 		return actions
@@ -234,7 +235,7 @@
 	answer := make(chan configuration.Answer, 1)
 	r.answers.Store(token, answer)
 	defer r.answers.Delete(token)
-	r.edit.step(func(now time.Time) []configuration.EditorAction {
+	r.edit.Step(func(now time.Time) []configuration.EditorAction {
 		return r.editor.Submit(now, configuration.Submission{Token: token, Patch: p, Deadline: deadline})
 	})
 	select {
@@ -266,18 +267,18 @@
 
 func (r *configurationRunner) readForEdit(a configuration.Read) {
 	object, err := r.store.Get(r.ctx, a.Name)
-	r.edit.step(func(now time.Time) []configuration.EditorAction { return r.editor.ReadDone(now, a.Call, object, err) })
+	r.edit.Step(func(now time.Time) []configuration.EditorAction { return r.editor.ReadDone(now, a.Call, object, err) })
 }
 
 func (r *configurationRunner) writeForEdit(a configuration.Write) {
 	object, err := r.store.Put(r.ctx, a.Name, a.Base, a.Value)
-	r.edit.step(func(now time.Time) []configuration.EditorAction { return r.editor.WriteDone(now, a.Call, object, err) })
+	r.edit.Step(func(now time.Time) []configuration.EditorAction { return r.editor.WriteDone(now, a.Call, object, err) })
 }
 
 // history returns the recent accepted patches.
 func (r *configurationRunner) history() []configuration.PatchRecord {
 	var records []configuration.PatchRecord
-	r.follow.view(func(time.Time) { records = r.tracker.History() })
+	r.follow.View(func(time.Time) { records = r.tracker.History() })
 	return records
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,13 +18,15 @@
 	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/internal/lifecycle"
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
 	"github.com/marigoldlever/marigoldlever/membership"
+	"github.com/marigoldlever/marigoldlever/objectstore"
+	"github.com/marigoldlever/marigoldlever/objectstore/httpstore"
 	"github.com/marigoldlever/marigoldlever/once"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
-	"github.com/marigoldlever/marigoldlever/platform/platformhttp"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/upstream/upstreamhttp"
 )
@@ -33,6 +35,8 @@
 	// maxScatterLoops bounds the locks that queries are divided over; more than
 	// a few no longer lower contention but split the latency statistics.
 	maxScatterLoops = 4
+	// retryBurst is how many extra sends a budget can save up.
+	retryBurst = 20
 	// burstSeconds is how many seconds of its call rate a host may save up.
 	burstSeconds = 2
 	// maintenanceInterval is the time between looks at shares, host list and
@@ -52,7 +56,7 @@
 	registry    metrics.Registry
 	tuning      query.Tuning
 
-	platform *platformhttp.Client
+	platform *httpstore.Client
 	client   *upstreamhttp.Client
 	node     *peer.Node
 	server   *api.Server
@@ -60,7 +64,7 @@
 	directory     *directory
 	gateway       *gateway
 	router        *router
-	scatter       *scatter
+	scatter       *scatter.Scatter
 	configuration *configurationRunner
 	tables        *tableRunner
 	proofs        *proofRunner
@@ -68,7 +72,7 @@
 	hosts         *hostList
 	reopener      *reopener
 	journal       *journalRunner
-	lifecycle     *lifecycle
+	lifecycle     *lifecycle.Lifecycle
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -80,10 +84,10 @@
 // New returns a daemon that doesn't listen yet.
 func New(s settings.Settings) (*Daemon, error) {
 	registry := metrics.NewRegistry()
-	client, err := platformhttp.New(platformhttp.Config{
+	client, err := httpstore.New(httpstore.Config{
 		BaseURL: "http://" + s.Platform.Address, DataCentre: s.Host.DataCentre, CallTimeout: s.Platform.Timeout,
-		Reads:   platformhttp.Rate{PerSecond: float64(s.Platform.ReadsPerSecond), Burst: burstSeconds * s.Platform.ReadsPerSecond},
-		Writes:  platformhttp.Rate{PerSecond: float64(s.Platform.WritesPerSecond), Burst: burstSeconds * s.Platform.WritesPerSecond},
+		Reads:   httpstore.Rate{PerSecond: float64(s.Platform.ReadsPerSecond), Burst: burstSeconds * s.Platform.ReadsPerSecond},
+		Writes:  httpstore.Rate{PerSecond: float64(s.Platform.WritesPerSecond), Burst: burstSeconds * s.Platform.WritesPerSecond},
 		Metrics: registry,
 	})
 	if err != nil {
@@ -106,7 +110,7 @@
 }
 
 // build makes the parts and connects them.
-func (d *Daemon) build(store platform.Store) error {
+func (d *Daemon) build(store objectstore.Store) error {
 	s := d.settings
 	self := ownership.Member{ID: s.Host.ID, Incarnation: d.incarnation, PeerAddress: s.Host.PeerAddress}
 	seed := uint64(time.Now().UnixNano())
@@ -121,13 +125,18 @@
 	d.directory = newDirectory(self, s.Host.DataCentre, drain.NewGate(drainConfig), holder)
 	d.gateway = newGateway(d.client, d.directory, d.registry)
 	d.router = newRouter(s.Host.ID, d.directory, d.gateway, d.node, d.registry)
-	d.scatter = newScatter(d.router, min(runtime.GOMAXPROCS(0), maxScatterLoops), s.Policy.ExtraLoad, seed)
+	d.scatter = scatter.New(scatter.Config{
+		Loops:     min(runtime.GOMAXPROCS(0), maxScatterLoops),
+		Allowance: func() query.Allowance { return query.NewBudget(s.Policy.ExtraLoad, retryBurst) },
+		Seed:      seed,
+		Observe:   d.learn,
+	})
 	d.configuration = newConfigurationRunner(d.ctx, &d.wait, s.Host.ID, store, d.node)
 	keeperConfig := ownership.DefaultKeeperConfig()
 	keeperConfig.Lease = s.Ownership.Lease
 	d.tables = newTableRunner(d.ctx, keeperConfig, s.Host.DataCentre, self, store, d.node, d.directory)
 	d.proofs = newProofRunner(self, s.Ownership.Lease, d.tables, d.node)
-	d.lifecycle = newLifecycle(drainConfig)
+	d.lifecycle = lifecycle.New(drainConfig)
 	onceConfig := once.DefaultConfig()
 	onceConfig.Journals = s.Once.Journals
 	onceConfig.MaxAge = s.Once.MaximumAge
@@ -156,7 +165,6 @@
 	d.gateway.closed = d.directory.closed
 	d.gateway.heard = d.learn
 	d.gateway.tell = d.tellLevel
-	d.scatter.observe = d.learn
 	d.configuration.inForce = d.putInForce
 	d.tables.holders = d.members.holdersOfTable
 	d.tables.changed = d.tableChanged
@@ -167,8 +175,8 @@
 	d.directory.live = d.members.isLive
 	d.hosts.live, d.hosts.peers, d.hosts.changed = d.members.liveHere, d.members.othersHere, d.takeHosts
 	d.journal.hosts, d.journal.address = d.members.journalWriters, d.members.address
-	d.lifecycle.announce = d.announce
-	d.lifecycle.release = d.release
+	d.lifecycle.Announce = d.announce
+	d.lifecycle.Release = d.release
 	d.router.begin = func() bool { return d.begin(drain.OwnerWork) }
 	d.router.end = func() { d.end(drain.OwnerWork) }
 	d.journal.begin = func() bool { return d.begin(drain.RecordWork) }
@@ -230,10 +238,10 @@
 
 // stop makes a planned stop and returns the number of requests cut off.
 func (d *Daemon) stop() int {
-	klog.InfoS("Planned stop begins", "host", d.settings.Host.ID, "inFlight", d.lifecycle.inFlight())
+	klog.InfoS("Planned stop begins", "host", d.settings.Host.ID, "inFlight", d.lifecycle.InFlight())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain.Grace+shutDownMargin)
 	defer cancel()
-	cutOff := d.lifecycle.shutDown(ctx)
+	cutOff := d.lifecycle.ShutDown(ctx)
 	if err := d.platform.Deregister(ctx, d.settings.Host.ID); err != nil {
 		klog.V(1).InfoS("Host list entry not removed", "err", err)
 	}
@@ -253,11 +261,11 @@
 // Kill ends everything at once, as a crash does.
 func (d *Daemon) Kill() {
 	d.cancel()
-	d.members.step.stop()
-	d.tables.step.stop()
-	d.configuration.follow.stop()
-	d.configuration.edit.stop()
-	d.journal.step.stop()
+	d.members.step.Stop()
+	d.tables.step.Stop()
+	d.configuration.follow.Stop()
+	d.configuration.edit.Stop()
+	d.journal.step.Stop()
 	closed, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = d.server.Shutdown(closed)
@@ -286,7 +294,7 @@
 func (d *Daemon) replaced() {
 	d.replacedOnce.Do(func() {
 		klog.ErrorS(nil, "Another process of this host was seen, this one stops", "host", d.settings.Host.ID)
-		go d.lifecycle.step.step(d.lifecycle.host.Stop)
+		go d.lifecycle.Stop()
 	})
 }
 
@@ -298,9 +306,9 @@
 	}
 }
 
-func (d *Daemon) begin(w drain.Work) bool { return d.lifecycle.begin(w) }
+func (d *Daemon) begin(w drain.Work) bool { return d.lifecycle.Begin(w) }
 
-func (d *Daemon) end(w drain.Work) { d.lifecycle.end(w) }
+func (d *Daemon) end(w drain.Work) { d.lifecycle.End(w) }
 
 // attemptPrefix makes ids that no other host or incarnation uses, even if two
 // callers choose the same request id.
@@ -311,15 +319,15 @@
 // putInForce applies a new configuration to all parts.
 func (d *Daemon) putInForce(active *configuration.Active) {
 	cold := d.directory.setConfiguration(time.Now(), active)
-	d.lifecycle.setConfiguration(active.Out(d.settings.Host.DataCentre))
+	d.lifecycle.SetConfiguration(active.Out(d.settings.Host.DataCentre))
 	d.gateway.refresh()
 	d.chill(cold)
 	for _, centre := range active.Document.DataCentres {
 		if centre.Out {
-			d.scatter.exclude(query.Exclusion{DataCentre: centre.Name, Reason: query.ReasonOut})
+			d.scatter.Exclude(query.Exclusion{DataCentre: centre.Name, Reason: query.ReasonOut})
 		}
 	}
-	d.scatter.repartition(func(r *scatterRun) []query.Group { return d.directory.regroup(r.groups) })
+	d.scatter.Repartition(func(r *scatter.Run) []query.Group { return d.directory.regroup(r.Groups()) })
 	d.members.setConfiguration(active.Number)
 }
 
--- a/internal/daemon/datapath_bench_test.go
+++ b/internal/daemon/datapath_bench_test.go
@@ -19,6 +19,7 @@
 	"github.com/marigoldlever/marigoldlever/contract"
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/internal/layout"
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/upstream"
@@ -107,13 +108,13 @@
 
 var benchSerial atomic.Uint64
 
-func benchAttempt(replica int, finish func(error)) attempt {
+func benchAttempt(replica int, finish func(error)) scatter.Attempt {
 	service := fmt.Sprintf("shards-%02d", replica+1)
 	id := fmt.Sprintf("0123456789abcdef.%d", benchSerial.Add(1))
-	return attempt{
-		id: id, replica: service + "-1", deadline: time.Now().Add(benchDeadline),
-		request: upstream.Request{Attempt: id, Service: service, Kind: upstream.Read, Snapshot: 7, Body: benchBody},
-		done:    func(_ upstream.Reply, err error) { finish(err) },
+	return scatter.Attempt{
+		ID: id, Replica: service + "-1", Deadline: time.Now().Add(benchDeadline),
+		Request: upstream.Request{Attempt: id, Service: service, Kind: upstream.Read, Snapshot: 7, Body: benchBody},
+		Done:    func(_ upstream.Reply, err error) { finish(err) },
 	}
 }
 
@@ -128,15 +129,15 @@
 		}
 		wait.Done()
 	}
-	attempts := make([]attempt, n)
+	attempts := make([]scatter.Attempt, n)
 	for i := range attempts {
 		attempts[i] = benchAttempt(i%benchServices, finish)
 	}
 	if grouped {
-		h.router.send(context.Background(), attempts)
+		h.router.Send(context.Background(), attempts)
 	} else {
 		for i := range attempts {
-			h.router.send(context.Background(), attempts[i:i+1])
+			h.router.Send(context.Background(), attempts[i:i+1])
 		}
 	}
 	wait.Wait()
@@ -239,7 +240,7 @@
 		for pb.Next() {
 			done := make(chan error, 1)
 			a := benchAttempt(int(next.Add(1)%benchServices), func(err error) { done <- err })
-			h.router.send(context.Background(), []attempt{a})
+			h.router.Send(context.Background(), []scatter.Attempt{a})
 			if err := <-done; err != nil {
 				b.Error(err)
 			}
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
@@ -19,21 +20,21 @@
 func (r *router) execute(ctx context.Context, replica string, request upstream.Request, deadline time.Time) (upstream.Reply, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	a := &routed{attempt: attempt{id: request.Attempt, replica: replica, request: request, deadline: deadline}}
+	a := &routed{Attempt: scatter.Attempt{ID: request.Attempt, Replica: replica, Request: request, Deadline: deadline}}
 	for {
 		owner, ok := r.choose(a)
 		if !ok {
 			return upstream.Reply{}, errNoOwner
 		}
 		a.assign(owner.Member)
-		reply, err := r.executeAt(ctx, owner.Member, a.attempt)
+		reply, err := r.executeAt(ctx, owner.Member, a.Attempt)
 		if !errors.Is(err, errNotOwner) {
 			return reply, err
 		}
 	}
 }
 
-func (r *router) executeAt(ctx context.Context, owner ownership.Member, a attempt) (upstream.Reply, error) {
+func (r *router) executeAt(ctx context.Context, owner ownership.Member, a scatter.Attempt) (upstream.Reply, error) {
 	if owner.ID == r.self {
 		return r.executeHere(ctx, a)
 	}
@@ -45,13 +46,13 @@
 	if err != nil {
 		return upstream.Reply{}, ownerError(err)
 	}
-	if done.Attempt != a.id {
+	if done.Attempt != a.ID {
 		return upstream.Reply{}, errors.Wrapf(upstream.ErrMismatch, "attempt %s", done.Attempt)
 	}
 	return done.Reply, done.err()
 }
 
-func (r *router) executeHere(ctx context.Context, a attempt) (upstream.Reply, error) {
+func (r *router) executeHere(ctx context.Context, a scatter.Attempt) (upstream.Reply, error) {
 	type result struct {
 		reply upstream.Reply
 		err   error
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/capacity"
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -73,7 +74,7 @@
 
 // job is one sub-request at its owner.
 type job struct {
-	attempt
+	scatter.Attempt
 	ctx    context.Context
 	cancel context.CancelFunc
 	lane   *lane
@@ -85,26 +86,26 @@
 // and a reply may meet.
 func (j *job) finish(reply upstream.Reply, err error) {
 	j.once.Do(func() {
-		j.lane.gateway.jobs.Delete(j.id)
+		j.lane.gateway.jobs.Delete(j.ID)
 		j.done(reply, err)
 	})
 }
 
 // submit brings a request to an upstream. done is called exactly once.
-func (g *gateway) submit(ctx context.Context, a attempt, done func(upstream.Reply, error)) {
+func (g *gateway) submit(ctx context.Context, a scatter.Attempt, done func(upstream.Reply, error)) {
 	now := time.Now()
-	if g.closed(now, a.replica) {
-		done(upstream.Reply{}, &unsentError{cause: errors.Wrap(upstream.ErrDraining, "refused by the owner")})
+	if g.closed(now, a.Replica) {
+		done(upstream.Reply{}, &scatter.UnsentError{Cause: errors.Wrap(upstream.ErrDraining, "refused by the owner")})
 		return
 	}
-	l, err := g.lane(a.replica)
+	l, err := g.lane(a.Replica)
 	if err != nil {
 		done(upstream.Reply{}, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, a.deadline)
-	j := &job{attempt: a, ctx: ctx, cancel: cancel, lane: l, done: done}
-	if _, duplicate := g.jobs.LoadOrStore(a.id, j); duplicate {
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
+	j := &job{Attempt: a, ctx: ctx, cancel: cancel, lane: l, done: done}
+	if _, duplicate := g.jobs.LoadOrStore(a.ID, j); duplicate {
 		cancel()
 		// The first one may be at the upstream, so it can't be said that it did
 		// not run.
@@ -228,7 +229,7 @@
 func (g *gateway) notices(now time.Time) map[string]capacity.Notice {
 	due := make(map[string]capacity.Notice)
 	for _, l := range g.all() {
-		l.machine.view(func(time.Time) {
+		l.machine.View(func(time.Time) {
 			if share := l.share(); share.rank == 0 && share.owners > 1 {
 				due[l.replica] = l.limiter.Level(now)
 			}
@@ -250,7 +251,7 @@
 func (g *gateway) inFlight() int {
 	n := 0
 	for _, l := range g.all() {
-		l.machine.view(func(time.Time) { n += l.limiter.InFlight() + l.limiter.QueueLength() })
+		l.machine.View(func(time.Time) { n += l.limiter.InFlight() + l.limiter.QueueLength() })
 	}
 	return n
 }
@@ -259,9 +260,9 @@
 func (g *gateway) send(j *job) (upstream.Reply, error) {
 	ctx, span := g.tracer.Start(j.ctx, "upstream.work", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
-	span.SetAttributes(attribute.String("replica", j.lane.replica), attribute.String("attempt", j.id))
-	r := j.request
-	r.Deadline = time.Until(j.deadline)
+	span.SetAttributes(attribute.String("replica", j.lane.replica), attribute.String("attempt", j.ID))
+	r := j.Request
+	r.Deadline = time.Until(j.Deadline)
 	if r.Deadline <= 0 {
 		return upstream.Reply{}, errors.Wrap(upstream.ErrShed, "deadline passed before the request was sent")
 	}
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/marigoldlever/marigoldlever/capacity"
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -40,7 +41,7 @@
 	g.tell = func(_ string, n capacity.Notice) { told <- n }
 	for _, id := range []string{"first", "second"} {
 		done := make(chan error, 1)
-		a := attempt{id: id, replica: "replica", request: upstream.Request{Attempt: id}, deadline: time.Now().Add(noticeTimeout)}
+		a := scatter.Attempt{ID: id, Replica: "replica", Request: upstream.Request{Attempt: id}, Deadline: time.Now().Add(noticeTimeout)}
 		g.submit(t.Context(), a,
 			func(_ upstream.Reply, err error) { done <- err })
 		if err := <-done; err != nil {
--- a/internal/daemon/hash.go
+++ b/internal/daemon/hash.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -13,6 +14,6 @@
 // refusal is no signal: the owner may not have heard yet that the upstream is back,
 // and a signal that names no incarnation would close the new one for good.
 func isDraining(err error) bool {
-	var unsent *unsentError
+	var unsent *scatter.UnsentError
 	return errors.Is(err, upstream.ErrDraining) && !errors.As(err, &unsent)
 }
--- a/internal/daemon/hash_test.go
+++ b/internal/daemon/hash_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -15,7 +16,7 @@
 	if !isDraining(own) {
 		t.Error("the upstream's own refusal is not taken as its signal")
 	}
-	if isDraining(&unsentError{cause: own}) {
+	if isDraining(&scatter.UnsentError{Cause: own}) {
 		t.Error("an owner's refusal is taken as the upstream's signal")
 	}
 }
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -13,8 +13,8 @@
 	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/membership"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 const (
@@ -30,15 +30,15 @@
 // with proofs.
 type hostList struct {
 	self  string
-	list  platform.HostList
+	list  objectstore.HostList
 	node  *peer.Node
 	live  func() []string
 	peers func() []membership.MemberState // other hosts of this data centre
 	// changed is called with each list that differs from the one before.
-	changed func(requestedAt time.Time, hosts []platform.Host)
+	changed func(requestedAt time.Time, hosts []objectstore.Host)
 
 	mu          sync.Mutex
-	hosts       []platform.Host
+	hosts       []objectstore.Host
 	digest      string
 	requestedAt time.Time
 	readAt      time.Time // last read of the platform
@@ -49,12 +49,12 @@
 }
 
 type hostListAnswer struct {
-	Digest string          `json:"digest"`
-	AgeUS  int64           `json:"age_us"` // microseconds since the platform was asked
-	Hosts  []platform.Host `json:"hosts,omitempty"`
+	Digest string             `json:"digest"`
+	AgeUS  int64              `json:"age_us"` // microseconds since the platform was asked
+	Hosts  []objectstore.Host `json:"hosts,omitempty"`
 }
 
-func newHostList(self string, list platform.HostList, node *peer.Node) *hostList {
+func newHostList(self string, list objectstore.HostList, node *peer.Node) *hostList {
 	h := &hostList{self: self, list: list, node: node}
 	node.Handle(methodHostsList, h.handle)
 	return h
@@ -113,7 +113,7 @@
 	return true
 }
 
-func (h *hostList) store(requestedAt time.Time, digest string, hosts []platform.Host) {
+func (h *hostList) store(requestedAt time.Time, digest string, hosts []objectstore.Host) {
 	h.mu.Lock()
 	if requestedAt.Before(h.requestedAt) {
 		h.mu.Unlock()
@@ -144,7 +144,7 @@
 	return a, nil
 }
 
-func digestOf(hosts []platform.Host) string {
+func digestOf(hosts []objectstore.Host) string {
 	encoded, err := json.Marshal(hosts)
 	if err != nil {
 		return ""
@@ -153,10 +153,10 @@
 }
 
 // takeHosts passes a list to the parts that use it.
-func (d *Daemon) takeHosts(requestedAt time.Time, hosts []platform.Host) {
+func (d *Daemon) takeHosts(requestedAt time.Time, hosts []objectstore.Host) {
 	var upstreams []drain.Listed
 	for _, h := range hosts {
-		if h.Role == platform.RoleUpstream {
+		if h.Role == objectstore.RoleUpstream {
 			upstreams = append(upstreams, drain.Listed{ID: h.ID, Leaving: h.Leaving})
 		}
 	}
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -10,10 +10,11 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/once"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -24,7 +25,7 @@
 
 // journalRunner records and runs non-idempotent requests.
 type journalRunner struct {
-	store      platform.Store
+	store      objectstore.Store
 	node       *peer.Node
 	dispatcher dispatcher
 	// hosts returns the ids of the hosts that may write journals.
@@ -39,7 +40,7 @@
 
 	machine *once.Machine
 	router  *once.Router
-	step    stepper[once.Action]
+	step    stepper.Stepper[once.Action]
 	waiting sync.Map // submission id to *waitingCaller
 	ctx     context.Context
 }
@@ -50,7 +51,7 @@
 	answer chan once.Outcome
 }
 
-func newJournalRunner(ctx context.Context, cfg once.Config, self, incarnation string, store platform.Store, node *peer.Node, d dispatcher, seed uint64) (*journalRunner, error) {
+func newJournalRunner(ctx context.Context, cfg once.Config, self, incarnation string, store objectstore.Store, node *peer.Node, d dispatcher, seed uint64) (*journalRunner, error) {
 	machine, err := once.New(cfg, self+"/"+incarnation, rand.New(rand.NewPCG(seed, 1)))
 	if err != nil {
 		return nil, errors.Wrap(err, "journal settings")
@@ -61,7 +62,7 @@
 		hosts:  func() []string { return []string{self} }, address: func(string) string { return "" },
 		begin: func() bool { return true }, end: func() {},
 	}
-	r.step.tick, r.step.next, r.step.perform = machine.Tick, machine.Next, r.perform
+	r.step.Tick, r.step.Next, r.step.Perform = machine.Tick, machine.Next, r.perform
 	node.Handle(methodOnceSubmit, r.handleSubmit)
 	return r, nil
 }
@@ -85,7 +86,7 @@
 	}
 	var outcome once.Outcome
 	err := r.node.Call(peer.WithTraceparent(ctx, tracing.Inject(ctx)), r.address(f.To), methodOnceSubmit, message, &outcome)
-	r.step.step(func(now time.Time) []once.Action {
+	r.step.Step(func(now time.Time) []once.Action {
 		switch {
 		case err == nil:
 			return r.router.Reply(s.ID, outcome)
@@ -124,7 +125,7 @@
 	s.ID = s.ID + "/" + uuid.NewString()
 	w := &waitingCaller{ctx: context.WithoutCancel(ctx), answer: make(chan once.Outcome, 1)}
 	r.waiting.Store(s.ID, w)
-	r.step.step(func(now time.Time) []once.Action { return event(now, s) })
+	r.step.Step(func(now time.Time) []once.Action { return event(now, s) })
 	select {
 	case outcome := <-w.answer:
 		return outcome
@@ -154,12 +155,12 @@
 
 func (r *journalRunner) read(a once.Read) {
 	object, err := r.store.Get(r.ctx, once.JournalName(a.Journal))
-	r.step.step(func(now time.Time) []once.Action { return r.machine.ReadDone(now, a.Journal, object, err) })
+	r.step.Step(func(now time.Time) []once.Action { return r.machine.ReadDone(now, a.Journal, object, err) })
 }
 
 func (r *journalRunner) write(a once.Write) {
 	object, err := r.store.Put(r.ctx, once.JournalName(a.Journal), a.Base, a.Value)
-	r.step.step(func(now time.Time) []once.Action { return r.machine.WriteDone(now, a.Journal, object, err) })
+	r.step.Step(func(now time.Time) []once.Action { return r.machine.WriteDone(now, a.Journal, object, err) })
 }
 
 // dispatch runs a recorded request. It counts as work of this host until its
@@ -171,7 +172,7 @@
 	span := trace.SpanContextFromContext(r.contextOf(a.Submission.ID))
 	ctx := trace.ContextWithSpanContext(r.ctx, span)
 	result := r.dispatcher.dispatch(ctx, a.Submission, a.Attempt)
-	r.step.step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
+	r.step.Step(func(now time.Time) []once.Action { return r.machine.DispatchDone(now, a.Attempt, result) })
 }
 
 // contextOf returns the context of the caller that waits for a submission.
@@ -199,7 +200,7 @@
 
 func (r *journalRunner) inFlight() int {
 	n := 0
-	r.step.view(func(time.Time) { n = r.machine.InFlight() + r.router.InFlight() })
+	r.step.View(func(time.Time) { n = r.machine.InFlight() + r.router.InFlight() })
 	return n
 }
 
--- a/internal/daemon/lane.go
+++ b/internal/daemon/lane.go
@@ -9,6 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/marigoldlever/marigoldlever/capacity"
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -16,7 +18,7 @@
 type lane struct {
 	gateway *gateway
 	replica string
-	machine stepper[capacity.Changes]
+	machine stepper.Stepper[capacity.Changes]
 	limiter *capacity.Limiter
 	current atomic.Pointer[ownedShare]
 	waiting map[string]*job // queued jobs, guarded by machine
@@ -28,9 +30,9 @@
 		return nil, errors.Wrapf(err, "limiter of replica %s", replica)
 	}
 	l := &lane{gateway: g, replica: replica, limiter: limiter, waiting: make(map[string]*job)}
-	l.machine.tick = func(now time.Time) []capacity.Changes { return l.noticed(now, l.limiter.Tick(now)) }
-	l.machine.next = limiter.Next
-	l.machine.perform = func(_ time.Time, changes []capacity.Changes) {
+	l.machine.Tick = func(now time.Time) []capacity.Changes { return l.noticed(now, l.limiter.Tick(now)) }
+	l.machine.Next = limiter.Next
+	l.machine.Perform = func(_ time.Time, changes []capacity.Changes) {
 		for _, c := range changes {
 			l.perform(c)
 		}
@@ -43,7 +45,7 @@
 
 // step passes one event to the limiter.
 func (l *lane) step(event func(now time.Time) capacity.Changes) {
-	l.machine.step(func(now time.Time) []capacity.Changes { return l.noticed(now, event(now)) })
+	l.machine.Step(func(now time.Time) []capacity.Changes { return l.noticed(now, event(now)) })
 }
 
 // noticed tells the other owners at once when the event lowered the ramp: until
@@ -82,13 +84,13 @@
 
 func (l *lane) inFlight() int {
 	n := 0
-	l.machine.view(func(time.Time) { n = l.limiter.InFlight() })
+	l.machine.View(func(time.Time) { n = l.limiter.InFlight() })
 	return n
 }
 
 func (l *lane) room() bool {
 	free := false
-	l.machine.view(func(now time.Time) {
+	l.machine.View(func(now time.Time) {
 		free = l.limiter.QueueLength() == 0 && l.limiter.InFlight() < l.gateway.rights.allowed(now, l.replica)
 	})
 	return free
@@ -100,10 +102,10 @@
 	var decision capacity.Decision
 	l.step(func(now time.Time) capacity.Changes {
 		changes := l.limiter.SetShare(now, l.gateway.rights.allowed(now, l.replica))
-		l.waiting[j.id] = j
-		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.id, Deadline: j.deadline, HandBack: j.handBack})
+		l.waiting[j.ID] = j
+		decision = l.limiter.Offer(now, capacity.Ticket{ID: j.ID, Deadline: j.Deadline, HandBack: j.HandBack})
 		if decision.Verdict != capacity.Queued {
-			delete(l.waiting, j.id)
+			delete(l.waiting, j.ID)
 		}
 		return changes
 	})
@@ -118,10 +120,10 @@
 // drop ends a cancelled job that is still queued.
 func (l *lane) drop(j *job) {
 	queued := false
-	l.machine.view(func(time.Time) {
-		queued = l.limiter.Cancel(j.id)
+	l.machine.View(func(time.Time) {
+		queued = l.limiter.Cancel(j.ID)
 		if queued {
-			delete(l.waiting, j.id)
+			delete(l.waiting, j.ID)
 		}
 	})
 	if queued {
@@ -152,7 +154,7 @@
 
 func (l *lane) take(id string) *job {
 	var j *job
-	l.machine.view(func(time.Time) {
+	l.machine.View(func(time.Time) {
 		j = l.waiting[id]
 		delete(l.waiting, id)
 	})
@@ -171,7 +173,7 @@
 	}
 	j.cancel()
 	refused := errors.Wrapf(cause, "refused by the owner: %s", reason)
-	j.finish(upstream.Reply{}, &unsentError{cause: refused, retryAfter: retryAfter})
+	j.finish(upstream.Reply{}, &scatter.UnsentError{Cause: refused, RetryAfter: retryAfter})
 }
 
 // run sends a job that the limiter has started.
@@ -181,7 +183,7 @@
 	// The right is checked again right before the send: this goroutine may have
 	// been paused since the limiter's decision.
 	if l.gateway.rights.allowed(sentAt, l.replica) == 0 {
-		l.end(j.id, capacity.Outcome{Result: capacity.Cancelled})
+		l.end(j.ID, capacity.Outcome{Result: capacity.Cancelled})
 		l.refuse(j, capacity.ReasonNoShare, 0)
 		return
 	}
@@ -192,9 +194,9 @@
 		if errors.Is(j.ctx.Err(), context.Canceled) {
 			outcome.Result = capacity.Cancelled
 		}
-		time.AfterFunc(cancelSettle, func() { l.end(j.id, outcome) })
+		time.AfterFunc(cancelSettle, func() { l.end(j.ID, outcome) })
 	} else {
-		l.end(j.id, outcome)
+		l.end(j.ID, outcome)
 	}
 	j.finish(reply, err)
 }
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -8,8 +8,8 @@
 
 	"github.com/marigoldlever/marigoldlever/capacity"
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -29,7 +29,7 @@
 		d.gateway.refresh()
 		d.sendNotices()
 		d.reopener.run(d.ctx)
-		d.scatter.prune(time.Now().Add(-statisticsAge))
+		d.scatter.Prune(time.Now().Add(-statisticsAge))
 		select {
 		case <-d.ctx.Done():
 			return
@@ -42,10 +42,10 @@
 func (d *Daemon) register() {
 	ctx, cancel := context.WithTimeout(d.ctx, d.settings.Platform.Timeout)
 	defer cancel()
-	err := d.platform.Register(ctx, platform.Host{
-		ID: d.settings.Host.ID, Role: platform.RoleEntry, DataCentre: d.settings.Host.DataCentre,
+	err := d.platform.Register(ctx, objectstore.Host{
+		ID: d.settings.Host.ID, Role: objectstore.RoleEntry, DataCentre: d.settings.Host.DataCentre,
 		PeerAddress: d.settings.Host.PeerAddress, CallerAddress: d.settings.Host.CallerAddress,
-		Leaving: d.lifecycle.phase() == drain.Leaving,
+		Leaving: d.lifecycle.Phase() == drain.Leaving,
 	})
 	if err != nil {
 		klog.V(1).InfoS("Host list entry not written", "err", err)
@@ -59,7 +59,7 @@
 	d.chill(cold)
 	if closed {
 		klog.InfoS("Upstream leaves", "replica", replica, "incarnation", r.Incarnation)
-		d.scatter.exclude(query.Exclusion{Replica: replica, Reason: query.ReasonLeaving})
+		d.scatter.Exclude(query.Exclusion{Replica: replica, Reason: query.ReasonLeaving})
 	}
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -10,10 +10,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
 	"github.com/marigoldlever/marigoldlever/membership"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // gossipTimeout bounds the sending of one membership message.
@@ -27,7 +28,7 @@
 	ctx        context.Context
 	seeds      []string
 	machine    *membership.Machine
-	step       stepper[membership.Message]
+	step       stepper.Stepper[membership.Message]
 	members    atomic.Pointer[memberView]
 
 	// changed is called when the members or their states changed.
@@ -63,15 +64,15 @@
 		machine: membership.New(cfg, record, rand.New(rand.NewPCG(seed, 2))),
 	}
 	r.members.Store(&memberView{})
-	r.step.tick, r.step.perform = r.machine.Tick, r.send
-	r.step.next = func() (time.Time, bool) { return r.machine.Next(), true }
+	r.step.Tick, r.step.Perform = r.machine.Tick, r.send
+	r.step.Next = func() (time.Time, bool) { return r.machine.Next(), true }
 	node.Handle(methodGossip, r.handleGossip)
 	return r
 }
 
 func (r *memberRunner) start() {
 	r.machine.Join(r.seeds)
-	r.step.step(r.machine.Tick)
+	r.step.Step(r.machine.Tick)
 }
 
 func (r *memberRunner) send(_ time.Time, messages []membership.Message) {
@@ -97,7 +98,7 @@
 	}
 	var proof membership.Proof
 	var fresher, superseded bool
-	r.step.step(func(now time.Time) []membership.Message {
+	r.step.Step(func(now time.Time) []membership.Message {
 		before := r.machine.Proof()
 		answers := r.machine.Receive(now, m.From.Address, m)
 		proof = r.machine.Proof()
@@ -137,7 +138,7 @@
 // the generation.
 func (r *memberRunner) viewAfter(generation uint64) *memberView {
 	var view *memberView
-	r.step.view(func(time.Time) {
+	r.step.View(func(time.Time) {
 		if g := r.machine.Generation(); g != generation {
 			view = &memberView{generation: g, others: r.machine.Members(), byID: make(map[string]membership.MemberState)}
 		}
@@ -152,35 +153,35 @@
 }
 
 // setHosts takes the platform's host list as addresses to join through.
-func (r *memberRunner) setHosts(hosts []platform.Host) {
+func (r *memberRunner) setHosts(hosts []objectstore.Host) {
 	addresses := slices.Clone(r.seeds)
 	for _, h := range hosts {
-		if h.Role == platform.RoleEntry && h.ID != r.self.ID {
+		if h.Role == objectstore.RoleEntry && h.ID != r.self.ID {
 			addresses = append(addresses, h.PeerAddress)
 		}
 	}
-	r.step.step(func(time.Time) []membership.Message {
+	r.step.Step(func(time.Time) []membership.Message {
 		r.machine.Join(addresses)
 		return nil
 	})
 }
 
 func (r *memberRunner) setConfiguration(number uint64) {
-	r.step.step(func(now time.Time) []membership.Message {
+	r.step.Step(func(now time.Time) []membership.Message {
 		r.machine.SetConfiguration(now, number)
 		return nil
 	})
 }
 
 func (r *memberRunner) setEpoch(dataCentre string, epoch uint64) {
-	r.step.step(func(now time.Time) []membership.Message {
+	r.step.Step(func(now time.Time) []membership.Message {
 		r.machine.SetEpoch(now, dataCentre, epoch)
 		return nil
 	})
 }
 
 func (r *memberRunner) setProof(epoch uint64, at time.Time) {
-	r.step.step(func(now time.Time) []membership.Message {
+	r.step.Step(func(now time.Time) []membership.Message {
 		r.machine.SetProof(now, epoch, at)
 		return nil
 	})
@@ -195,7 +196,7 @@
 }
 
 func (r *memberRunner) announce(p drain.Phase) {
-	r.step.step(func(now time.Time) []membership.Message {
+	r.step.Step(func(now time.Time) []membership.Message {
 		r.machine.SetPhase(now, phases[p])
 		return nil
 	})
@@ -218,13 +219,18 @@
 }
 
 // isLive tells whether an owner should be preferred. A process that another one
-// of the same host replaced is not live.
+// of the same host replaced is not live. A host that its table names and that this
+// host has not heard of yet is taken as live: news of a table can outrun the news
+// of its members.
 func (r *memberRunner) isLive(m ownership.Member) bool {
 	if m.ID == r.self.ID {
 		return m.Incarnation == r.self.Incarnation
 	}
 	known, ok := r.members.Load().byID[m.ID]
-	return ok && known.Incarnation == m.Incarnation && live(known)
+	if !ok {
+		return true
+	}
+	return known.Incarnation == m.Incarnation && live(known)
 }
 
 // othersHere returns the other hosts of this data centre that are not gone.
--- /dev/null
+++ b/internal/daemon/members_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/membership"
+	"github.com/marigoldlever/marigoldlever/ownership"
+	"github.com/marigoldlever/marigoldlever/peer"
+)
+
+// Guards against a host that passes over an owner because the table that names it
+// arrived before the owner's first heartbeat: at the start of a system the other
+// owners of a cold upstream refuse, and the query lost its part.
+func TestOwnerNotHeardOfYetIsPreferred(t *testing.T) {
+	self := ownership.Member{ID: "self", Incarnation: "1"}
+	r := newMemberRunner(t.Context(), time.Second, self, "dc", nil, peer.NewNode(peer.Config{}), 1)
+	r.members.Store(&memberView{byID: map[string]membership.MemberState{
+		"live":     {Member: membership.Member{ID: "live", Incarnation: "1", Phase: membership.Serving}},
+		"dead":     {Member: membership.Member{ID: "dead", Incarnation: "1", Phase: membership.Serving, Status: membership.Dead}},
+		"left":     {Member: membership.Member{ID: "left", Incarnation: "1", Phase: membership.Left}},
+		"replaced": {Member: membership.Member{ID: "replaced", Incarnation: "2", Phase: membership.Serving}},
+	}})
+	for id, want := range map[string]bool{"self": true, "live": true, "unheard": true, "dead": false, "left": false, "replaced": false} {
+		if got := r.isLive(ownership.Member{ID: id, Incarnation: "1"}); got != want {
+			t.Errorf("owner %s: live %t, want %t", id, got, want)
+		}
+	}
+}
--- a/internal/daemon/proofs.go
+++ b/internal/daemon/proofs.go
@@ -10,9 +10,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/configuration"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 const (
@@ -101,7 +101,7 @@
 	known := p.tables.epoch()
 	sentAt := time.Now()
 	t, err := p.tables.watchTable(ctx, known)
-	if errors.Is(err, platform.ErrTimeout) {
+	if errors.Is(err, objectstore.ErrTimeout) {
 		p.tables.prove(known, sentAt)
 		p.proven(known, sentAt)
 		return true
@@ -109,7 +109,7 @@
 	if err != nil {
 		return false
 	}
-	p.tables.step.step(func(now time.Time) []ownership.Action {
+	p.tables.step.Step(func(now time.Time) []ownership.Action {
 		return p.tables.keeper.ReadDone(now, sentAt, t, ownership.Done)
 	})
 	if t.Epoch > 0 {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
@@ -47,11 +48,11 @@
 }
 
 // errNoOwner ends an attempt that no owner would take.
-var errNoOwner error = &unsentError{cause: errors.Wrap(upstream.ErrShed, "no owner can take the request")}
+var errNoOwner error = &scatter.UnsentError{Cause: errors.Wrap(upstream.ErrShed, "no owner can take the request")}
 
 // routed is an attempt on its way.
 type routed struct {
-	attempt
+	scatter.Attempt
 	ctx   context.Context
 	tried []string // ids of owners asked so far
 
@@ -90,12 +91,12 @@
 	return r
 }
 
-// send implements sender.
-func (r *router) send(ctx context.Context, attempts []attempt) {
+// Send implements scatter.Sender.
+func (r *router) Send(ctx context.Context, attempts []scatter.Attempt) {
 	group := make([]*routed, len(attempts))
 	for i, a := range attempts {
-		group[i] = &routed{attempt: a, ctx: ctx}
-		r.pending.Store(a.id, group[i])
+		group[i] = &routed{Attempt: a, ctx: ctx}
+		r.pending.Store(a.ID, group[i])
 	}
 	r.route(ctx, group)
 }
@@ -106,7 +107,7 @@
 	for _, a := range group {
 		owner, ok := r.choose(a)
 		if !ok {
-			r.settle(a.id, upstream.Reply{}, errNoOwner)
+			r.settle(a.ID, upstream.Reply{}, errNoOwner)
 			continue
 		}
 		if !a.assign(owner.Member) {
@@ -132,11 +133,11 @@
 	}
 	var candidates []ownership.Share
 	total := 0
-	for _, s := range r.lookup.owners(a.replica) {
+	for _, s := range r.lookup.owners(a.Replica) {
 		if slices.Contains(a.tried, s.Member.ID) {
 			continue
 		}
-		if s.Member.ID == r.self && r.gateway.room(a.replica) {
+		if s.Member.ID == r.self && r.gateway.room(a.Replica) {
 			return s, true
 		}
 		candidates = append(candidates, s)
@@ -155,8 +156,8 @@
 }
 
 func (r *router) sendHere(ctx context.Context, a *routed) {
-	r.gateway.submit(ctx, a.attempt, func(reply upstream.Reply, err error) {
-		r.finish(a.id, reply, err)
+	r.gateway.submit(ctx, a.Attempt, func(reply upstream.Reply, err error) {
+		r.finish(a.ID, reply, err)
 	})
 }
 
@@ -170,9 +171,9 @@
 	message := workBatch{Items: make([]workItem, len(batch))}
 	latest := now
 	for i, a := range batch {
-		message.Items[i] = newWorkItem(a.attempt, now)
-		if a.deadline.After(latest) {
-			latest = a.deadline
+		message.Items[i] = newWorkItem(a.Attempt, now)
+		if a.Deadline.After(latest) {
+			latest = a.Deadline
 		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest)
@@ -183,7 +184,7 @@
 	}
 	cause := ownerError(err)
 	for _, a := range batch {
-		r.finish(a.id, upstream.Reply{}, cause)
+		r.finish(a.ID, upstream.Reply{}, cause)
 	}
 }
 
@@ -224,11 +225,11 @@
 		metrics.GetOrRegisterCounter("router.late", r.registry).Inc(1)
 		return
 	}
-	value.(*routed).done(reply, err)
+	value.(*routed).Done(reply, err)
 }
 
-// cancel implements sender.
-func (r *router) cancel(ids []string) {
+// Cancel implements scatter.Sender.
+func (r *router) Cancel(ids []string) {
 	remote := make(map[string][]string)
 	for _, id := range ids {
 		value, ok := r.pending.LoadAndDelete(id)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -44,7 +44,7 @@
 	plan.AnswerTime = limit
 	plan.LatencyGoal = min(plan.LatencyGoal, limit)
 	plan.Tuning = d.tuning
-	finish, err := d.scatter.run(ctx, plan, q.Request)
+	finish, err := d.scatter.Run(ctx, d.router, plan, q.Request)
 	if err != nil {
 		return api.Answer{}, api.NewProblem(api.KindDeadline, "the caller gave up: %v", err)
 	}
@@ -297,7 +297,7 @@
 func (d *Daemon) Ready() (bool, string) {
 	var ready bool
 	var reason string
-	d.lifecycle.step.view(func(time.Time) { ready, reason = d.lifecycle.host.Ready() })
+	ready, reason = d.lifecycle.Ready()
 	// Without the tables it would refuse every request that it is sent.
 	if ready && !d.directory.canRoute(time.Now(), d.settings.Ownership.Lease) {
 		return false, "the ownership tables are not known yet"
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -62,9 +62,9 @@
 func (d *Daemon) hostStatus() api.HostStatus {
 	ready, reason := d.Ready()
 	status := api.HostStatus{
-		ID: d.settings.Host.ID, DataCentre: d.settings.Host.DataCentre, Phase: string(d.lifecycle.phase()),
-		Ready: ready, Reason: reason, Configuration: d.configuration.number(), InFlight: d.lifecycle.inFlight(),
-		AtUpstreams: d.gateway.inFlight(), CutOff: d.lifecycle.cutOff(),
+		ID: d.settings.Host.ID, DataCentre: d.settings.Host.DataCentre, Phase: string(d.lifecycle.Phase()),
+		Ready: ready, Reason: reason, Configuration: d.configuration.number(), InFlight: d.lifecycle.InFlight(),
+		AtUpstreams: d.gateway.inFlight(), CutOff: d.lifecycle.CutOff(),
 		Members: len(d.members.others()) + 1, ProofAgeMS: -1,
 	}
 	d.directory.withHolder(func(now time.Time, h *ownership.Holder) {
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -8,9 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/ownership"
 	"github.com/marigoldlever/marigoldlever/peer"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // fetchTimeout bounds the fetch of a table from a peer.
@@ -20,11 +21,11 @@
 // centre together with its peers and follows those of the others.
 type tableRunner struct {
 	dataCentre string
-	store      platform.Store
+	store      objectstore.Store
 	node       *peer.Node
 	directory  *directory
 	keeper     *ownership.Keeper
-	step       stepper[ownership.Action]
+	step       stepper.Stepper[ownership.Action]
 	ctx        context.Context
 	// holders returns the peer addresses of hosts to ask for a table.
 	holders func(dataCentre string) []string
@@ -32,15 +33,15 @@
 	changed func(t ownership.Table)
 }
 
-func newTableRunner(ctx context.Context, cfg ownership.KeeperConfig, dataCentre string, self ownership.Member, store platform.Store, node *peer.Node, d *directory) *tableRunner {
+func newTableRunner(ctx context.Context, cfg ownership.KeeperConfig, dataCentre string, self ownership.Member, store objectstore.Store, node *peer.Node, d *directory) *tableRunner {
 	r := &tableRunner{
 		dataCentre: dataCentre, store: store, node: node, directory: d, ctx: ctx,
 		keeper:  ownership.NewKeeper(cfg, dataCentre, self),
 		holders: func(string) []string { return nil },
 		changed: func(ownership.Table) {},
 	}
-	r.step.tick, r.step.perform = r.keeper.Tick, r.perform
-	r.step.next = func() (time.Time, bool) {
+	r.step.Tick, r.step.Perform = r.keeper.Tick, r.perform
+	r.step.Next = func() (time.Time, bool) {
 		next := r.keeper.Next(time.Now())
 		return next, !next.IsZero()
 	}
@@ -49,7 +50,7 @@
 }
 
 // start makes the first read.
-func (r *tableRunner) start() { r.step.step(r.keeper.Tick) }
+func (r *tableRunner) start() { r.step.Step(r.keeper.Tick) }
 
 func (r *tableRunner) perform(now time.Time, actions []ownership.Action) {
 	for _, a := range actions {
@@ -84,7 +85,7 @@
 // 0.
 func (r *tableRunner) readTable(ctx context.Context, dataCentre string) (ownership.Table, error) {
 	object, err := r.store.Get(ctx, ownership.ObjectName(dataCentre))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return ownership.Table{DataCentre: dataCentre}, nil
 	}
 	if err != nil {
@@ -108,26 +109,26 @@
 // epoch returns the epoch of this data centre's newest known table.
 func (r *tableRunner) epoch() uint64 {
 	var epoch uint64
-	r.step.view(func(time.Time) { epoch = r.keeper.Table(r.dataCentre).Epoch })
+	r.step.View(func(time.Time) { epoch = r.keeper.Table(r.dataCentre).Epoch })
 	return epoch
 }
 
 func (r *tableRunner) read(dataCentre string) {
 	sentAt := time.Now()
 	t, err := r.readTable(r.ctx, dataCentre)
-	r.step.step(func(now time.Time) []ownership.Action {
+	r.step.Step(func(now time.Time) []ownership.Action {
 		return r.keeper.ReadDone(now, sentAt, t, resultOfCall(err))
 	})
 }
 
 func (r *tableRunner) write(a ownership.Write) {
 	sentAt := time.Now()
-	var object platform.Object
+	var object objectstore.Object
 	value, err := ownership.Encode(a.Table)
 	if err == nil {
 		object, err = r.store.Put(r.ctx, ownership.ObjectName(r.dataCentre), a.Base, value)
 	}
-	r.step.step(func(now time.Time) []ownership.Action {
+	r.step.Step(func(now time.Time) []ownership.Action {
 		return r.keeper.WriteDone(now, sentAt, object.Version, resultOfCall(err))
 	})
 }
@@ -136,9 +137,9 @@
 	switch {
 	case err == nil:
 		return ownership.Done
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return ownership.Conflict
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget, platform.ErrTooLarge):
+	case errors.IsAny(err, objectstore.ErrUnavailable, objectstore.ErrBudget, objectstore.ErrTooLarge):
 		return ownership.Unavailable
 	default:
 		return ownership.Unknown
@@ -159,7 +160,7 @@
 
 func (r *tableRunner) fetchFromPeers(f ownership.Fetch) (ownership.Table, bool) {
 	var have ownership.Table
-	r.step.view(func(time.Time) { have = r.keeper.Table(f.DataCentre) })
+	r.step.View(func(time.Time) { have = r.keeper.Table(f.DataCentre) })
 	for _, address := range r.holders(f.DataCentre) {
 		ctx, cancel := context.WithTimeout(r.ctx, fetchTimeout)
 		var m tableMessage
@@ -179,7 +180,7 @@
 	if t.Epoch == 0 {
 		return
 	}
-	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Learn(now, t) })
+	r.step.Step(func(now time.Time) []ownership.Action { return r.keeper.Learn(now, t) })
 	if t.DataCentre != r.dataCentre {
 		r.directory.setTable(time.Now(), t)
 		r.changed(t)
@@ -191,21 +192,21 @@
 	if dataCentre == r.dataCentre {
 		r.directory.withHolder(func(_ time.Time, h *ownership.Holder) { h.Heard(epoch) })
 	}
-	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Heard(now, dataCentre, epoch) })
+	r.step.Step(func(now time.Time) []ownership.Action { return r.keeper.Heard(now, dataCentre, epoch) })
 }
 
 func (r *tableRunner) observe(peers []ownership.Peer) {
-	r.step.step(func(now time.Time) []ownership.Action { return r.keeper.Observe(now, peers) })
+	r.step.Step(func(now time.Time) []ownership.Action { return r.keeper.Observe(now, peers) })
 }
 
 // release ends this host's rights and returns once the table no longer names it,
 // or when ctx ends.
 func (r *tableRunner) release(ctx context.Context) {
 	r.directory.withHolder(func(_ time.Time, h *ownership.Holder) { h.Release() })
-	r.step.step(r.keeper.Release)
+	r.step.Step(r.keeper.Release)
 	for ctx.Err() == nil {
 		released := false
-		r.step.view(func(time.Time) { released = r.keeper.Released() })
+		r.step.View(func(time.Time) { released = r.keeper.Released() })
 		if released {
 			return
 		}
@@ -237,7 +238,7 @@
 		return nil, err
 	}
 	var t ownership.Table
-	r.step.view(func(time.Time) { t = r.keeper.Table(f.DataCentre) })
+	r.step.View(func(time.Time) { t = r.keeper.Table(f.DataCentre) })
 	if d, ok := t.Since(f.Have); ok {
 		return tableMessage{Delta: &d}, nil
 	}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -43,18 +44,6 @@
 	return errors.As(err, &remote) && remote.Code == codeLeaving
 }
 
-// unsentError reports that an owner refused or handed back a request before it
-// reached the upstream, so that another replica may be asked without adding load
-// to any.
-type unsentError struct {
-	cause      error
-	retryAfter time.Duration // 0 if unknown
-}
-
-func (e *unsentError) Error() string { return "not sent to the upstream: " + e.cause.Error() }
-
-func (e *unsentError) Unwrap() error { return e.cause }
-
 // workItem is one sub-request for an upstream of the receiving owner.
 type workItem struct {
 	Replica    string           `json:"replica"`
@@ -63,16 +52,16 @@
 	Request    upstream.Request `json:"request"`
 }
 
-func newWorkItem(a attempt, now time.Time) workItem {
-	return workItem{Replica: a.replica, DeadlineUS: a.deadline.Sub(now).Microseconds(), HandBack: a.handBack, Request: a.request}
+func newWorkItem(a scatter.Attempt, now time.Time) workItem {
+	return workItem{Replica: a.Replica, DeadlineUS: a.Deadline.Sub(now).Microseconds(), HandBack: a.HandBack, Request: a.Request}
 }
 
 // attempt returns the item as an attempt, with its deadline by the receiver's
 // clock.
-func (w workItem) attempt(now time.Time) attempt {
-	return attempt{
-		id: w.Request.Attempt, replica: w.Replica, request: w.Request, handBack: w.HandBack,
-		deadline: now.Add(time.Duration(w.DeadlineUS) * time.Microsecond),
+func (w workItem) attempt(now time.Time) scatter.Attempt {
+	return scatter.Attempt{
+		ID: w.Request.Attempt, Replica: w.Replica, Request: w.Request, HandBack: w.HandBack,
+		Deadline: now.Add(time.Duration(w.DeadlineUS) * time.Microsecond),
 	}
 }
 
@@ -92,9 +81,9 @@
 
 func newWorkDone(id string, reply upstream.Reply, err error) workDone {
 	done := workDone{Attempt: id, Reply: reply, Failure: codeOf(err)}
-	var unsent *unsentError
+	var unsent *scatter.UnsentError
 	if errors.As(err, &unsent) {
-		done.Unsent, done.RetryAfterUS = true, unsent.retryAfter.Microseconds()
+		done.Unsent, done.RetryAfterUS = true, unsent.RetryAfter.Microseconds()
 	}
 	return done
 }
@@ -103,7 +92,7 @@
 func (d workDone) err() error {
 	err := d.Failure.errorOf()
 	if err != nil && d.Unsent {
-		return &unsentError{cause: err, retryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond}
+		return &scatter.UnsentError{Cause: err, RetryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond}
 	}
 	return err
 }
--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,114 @@
+// Package lifecycle runs the phases of a host from start to planned stop.
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/stepper"
+)
+
+// Lifecycle runs the phases of this host.
+type Lifecycle struct {
+	host *drain.Host
+	step stepper.Stepper[drain.Action]
+	// Announce tells peers and the host list this host's phase.
+	Announce func(drain.Phase)
+	// Release gives up this host's shares and returns once the table shows it.
+	Release func()
+	exited  chan drain.Exit
+}
+
+// New returns the lifecycle of a starting host.
+func New(cfg drain.Config) *Lifecycle {
+	l := &Lifecycle{
+		host: drain.NewHost(cfg), Announce: func(drain.Phase) {}, Release: func() {}, exited: make(chan drain.Exit, 1),
+	}
+	l.step.Tick, l.step.Next, l.step.Perform = l.host.Tick, l.host.Next, l.perform
+	return l
+}
+
+func (l *Lifecycle) perform(_ time.Time, actions []drain.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case drain.Announce:
+			klog.InfoS("Phase changed", "phase", a.Phase)
+			l.Announce(a.Phase)
+		case drain.ReleaseShares:
+			go func() {
+				l.Release()
+				l.step.Step(l.host.SharesReleased)
+			}()
+		case drain.Exit:
+			l.exited <- a
+		}
+	}
+}
+
+// SetConfiguration tells that a configuration is in force, and whether this
+// data centre is out in it.
+func (l *Lifecycle) SetConfiguration(out bool) {
+	l.step.Step(func(time.Time) []drain.Action { return l.host.SetConfiguration(out) })
+}
+
+// Begin counts a request in and reports whether it is accepted.
+func (l *Lifecycle) Begin(w drain.Work) bool {
+	accepted := false
+	l.step.Step(func(now time.Time) []drain.Action {
+		accepted = l.host.Begin(now, w)
+		return nil
+	})
+	return accepted
+}
+
+// End counts a request out.
+func (l *Lifecycle) End(w drain.Work) {
+	l.step.Step(func(now time.Time) []drain.Action { return l.host.End(now, w) })
+}
+
+// Phase returns the phase.
+func (l *Lifecycle) Phase() drain.Phase {
+	var phase drain.Phase
+	l.step.View(func(time.Time) { phase = l.host.Phase() })
+	return phase
+}
+
+// InFlight returns the number of requests in flight.
+func (l *Lifecycle) InFlight() int {
+	n := 0
+	l.step.View(func(time.Time) { n = l.host.InFlight() })
+	return n
+}
+
+// CutOff returns the number of requests that the stop cut off.
+func (l *Lifecycle) CutOff() int {
+	n := 0
+	l.step.View(func(time.Time) { n = l.host.CutOff() })
+	return n
+}
+
+// ShutDown begins a planned stop and waits for its end. It returns the number of
+// requests that were cut off.
+func (l *Lifecycle) ShutDown(ctx context.Context) int {
+	l.step.Step(l.host.Stop)
+	select {
+	case exit := <-l.exited:
+		return exit.CutOff
+	case <-ctx.Done():
+		return l.InFlight()
+	}
+}
+
+// Stop begins a planned stop without waiting for its end.
+func (l *Lifecycle) Stop() { l.step.Step(l.host.Stop) }
+
+// Ready reports whether the load balancer should send requests here, and if
+// not, why.
+func (l *Lifecycle) Ready() (bool, string) {
+	ready, reason := false, ""
+	l.step.View(func(time.Time) { ready, reason = l.host.Ready() })
+	return ready, reason
+}
--- a/internal/measure/control.go
+++ b/internal/measure/control.go
@@ -36,6 +36,10 @@
 	Changes  float64 // configuration changes a day
 	Duration time.Duration
 	Seed     uint64
+	// Heartbeat is the time between two heartbeats; 0 takes the default. Forty
+	// daemons in one process on a busy machine are late with short ones, and take
+	// each other for dead.
+	Heartbeat time.Duration
 	// Warm sends queries before the measured part, so that owners have limiters.
 	Warm bool
 }
@@ -75,7 +79,7 @@
 	var before usage
 	c, err := trial.Start(ctx, trial.Options{
 		Layout: o.layout(), HostsPerDataCentre: o.Hosts, Seed: o.Seed, Work: layout.DefaultWork,
-		Settings: defaultTimes, PlatformHandler: calls.wrap,
+		Settings: o.times, PlatformHandler: calls.wrap,
 		BeforeHosts: func() { before = settledUsage() },
 	})
 	if err != nil {
@@ -147,8 +151,8 @@
 	return l
 }
 
-// defaultTimes takes the times that daemons have outside of trials.
-func defaultTimes(s *settings.Settings) {
+// times takes the times that daemons have outside of trials.
+func (o ControlOptions) times(s *settings.Settings) {
 	d, err := settings.Parse("measure", []byte(
 		"[host]\nid = x\ndata_centre = x\ncaller_address = 127.0.0.1:1\npeer_address = 127.0.0.1:2\n[platform]\naddress = 127.0.0.1:3\n"))
 	if err != nil {
@@ -156,8 +160,15 @@
 	}
 	s.Ownership, s.Limits, s.Drain = d.Ownership, d.Limits, d.Drain
 	s.Membership.Period = membership.DefaultConfig().Period
+	if o.Heartbeat > 0 {
+		s.Membership.Period = o.Heartbeat
+		s.Ownership.Lease = max(s.Ownership.Lease, heartbeatsPerLease*o.Heartbeat)
+	}
 }
 
+// heartbeatsPerLease is the least number that the settings allow.
+const heartbeatsPerLease = 3
+
 // warm sends queries one after the other, so that every owner gets replies. Their
 // coverage doesn't matter here.
 func warm(ctx context.Context, c *trial.Cluster) {
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	r, err := Control(ctx, ControlOptions{
-		Centres: 1, Hosts: 40, Services: 2, Replicas: 2, Changes: secondsPerDay, Duration: 2 * time.Second, Seed: 1,
+		Centres: 1, Hosts: 40, Services: 2, Replicas: 2, Changes: secondsPerDay, Duration: 2 * time.Second, Seed: 1, Heartbeat: 4 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/platformstandin/claims_test.go
+++ b/internal/standin/platformstandin/claims_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // claim is what a Put told its caller.
 type claim struct {
-	object platform.Object
+	object objectstore.Object
 	err    error
 }
 
@@ -81,10 +81,10 @@
 				if c.object.Version != version {
 					t.Errorf("%s: accepted as version %d, history has %d", value, c.object.Version, version)
 				}
-			case errors.Is(c.err, platform.ErrUnknownOutcome):
-				kinds[platform.ErrUnknownOutcome]++
-			case errors.IsAny(c.err, platform.ErrConflict, platform.ErrUnavailable):
-				kinds[platform.ErrConflict]++
+			case errors.Is(c.err, objectstore.ErrUnknownOutcome):
+				kinds[objectstore.ErrUnknownOutcome]++
+			case errors.IsAny(c.err, objectstore.ErrConflict, objectstore.ErrUnavailable):
+				kinds[objectstore.ErrConflict]++
 				if present {
 					t.Errorf("%s: refused by %v, but applied as version %d", value, c.err, version)
 				}
--- a/internal/standin/platformstandin/direct.go
+++ b/internal/standin/platformstandin/direct.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // directWatchWait is the poll length of Direct, that of the HTTP client.
@@ -20,8 +20,8 @@
 }
 
 var (
-	_ platform.Store    = (*Direct)(nil)
-	_ platform.HostList = (*Direct)(nil)
+	_ objectstore.Store    = (*Direct)(nil)
+	_ objectstore.HostList = (*Direct)(nil)
 )
 
 // Direct returns in-process access from the data centre.
@@ -29,35 +29,35 @@
 	return &Direct{platform: p, dataCentre: dataCentre}
 }
 
-// Get implements platform.Store.
-func (d *Direct) Get(ctx context.Context, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (d *Direct) Get(ctx context.Context, name string) (objectstore.Object, error) {
 	o, err := d.platform.get(ctx, d.dataCentre, name)
 	return readResult(o, err)
 }
 
-// Watch implements platform.Store.
-func (d *Direct) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+// Watch implements objectstore.Store.
+func (d *Direct) Watch(ctx context.Context, name string, after uint64) (objectstore.Object, error) {
 	o, err := d.platform.watch(ctx, d.dataCentre, name, after, directWatchWait)
 	return readResult(o, err)
 }
 
-// Put implements platform.Store.
-func (d *Direct) Put(ctx context.Context, name string, base uint64, value []byte) (platform.Object, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, errors.WithStack(platform.ErrTooLarge)
+// Put implements objectstore.Store.
+func (d *Direct) Put(ctx context.Context, name string, base uint64, value []byte) (objectstore.Object, error) {
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, errors.WithStack(objectstore.ErrTooLarge)
 	}
 	o, err := d.platform.put(ctx, d.dataCentre, name, base, value)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return o, errors.WithStack(err)
 	}
 	if err != nil {
-		return platform.Object{}, writeFailure(err)
+		return objectstore.Object{}, writeFailure(err)
 	}
 	return o, nil
 }
 
-// Hosts implements platform.HostList.
-func (d *Direct) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements objectstore.HostList.
+func (d *Direct) Hosts(ctx context.Context) ([]objectstore.Host, error) {
 	hosts, err := d.platform.listHosts(ctx, d.dataCentre)
 	if err != nil {
 		return nil, readFailure(err)
@@ -65,19 +65,19 @@
 	return hosts, nil
 }
 
-// Register implements platform.HostList.
-func (d *Direct) Register(ctx context.Context, h platform.Host) error {
+// Register implements objectstore.HostList.
+func (d *Direct) Register(ctx context.Context, h objectstore.Host) error {
 	return writeFailure(d.platform.writeHost(ctx, d.dataCentre, h.ID, &h))
 }
 
-// Deregister implements platform.HostList.
+// Deregister implements objectstore.HostList.
 func (d *Direct) Deregister(ctx context.Context, id string) error {
 	return writeFailure(d.platform.writeHost(ctx, d.dataCentre, id, nil))
 }
 
-func readResult(o platform.Object, err error) (platform.Object, error) {
+func readResult(o objectstore.Object, err error) (objectstore.Object, error) {
 	if err != nil {
-		return platform.Object{}, readFailure(err)
+		return objectstore.Object{}, readFailure(err)
 	}
 	return o, nil
 }
@@ -85,7 +85,7 @@
 // readFailure converts an error of a read.
 func readFailure(err error) error {
 	if errors.IsAny(err, errCut, errOutage, errOverRate) {
-		return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return errors.Wrapf(objectstore.ErrUnavailable, "%v", err)
 	}
 	return err
 }
@@ -94,7 +94,7 @@
 // write took effect.
 func writeFailure(err error) error {
 	if errors.Is(err, errCut) {
-		return errors.Wrapf(platform.ErrUnknownOutcome, "%v", err)
+		return errors.Wrapf(objectstore.ErrUnknownOutcome, "%v", err)
 	}
 	return readFailure(err)
 }
--- a/internal/standin/platformstandin/history.go
+++ b/internal/standin/platformstandin/history.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // historyValueBytes bounds the values that the history keeps. A journal that
@@ -32,7 +32,7 @@
 	oldest int // index of the first write whose value is kept
 }
 
-func (h *history) add(o platform.Object, dataCentre string, at time.Time) {
+func (h *history) add(o objectstore.Object, dataCentre string, at time.Time) {
 	digest := sha256.Sum256(o.Value)
 	h.writes = append(h.writes, Write{
 		Object: o.Name, Version: o.Version, Time: at, DataCentre: dataCentre,
--- a/internal/standin/platformstandin/hosts.go
+++ b/internal/standin/platformstandin/hosts.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // hostLog holds the host list as it was at each change, so that a lagging list
@@ -17,14 +17,14 @@
 
 type hostState struct {
 	at    time.Time
-	hosts []platform.Host // sorted by ID, never changed
+	hosts []objectstore.Host // sorted by ID, never changed
 }
 
 // maxLag bounds how long old states of the list are kept.
 const maxLag = 10 * time.Minute
 
 // newest returns the list without lag.
-func (l *hostLog) newest() []platform.Host {
+func (l *hostLog) newest() []objectstore.Host {
 	if len(l.states) == 0 {
 		return nil
 	}
@@ -32,7 +32,7 @@
 }
 
 // at returns the list as it was at t.
-func (l *hostLog) at(t time.Time) []platform.Host {
+func (l *hostLog) at(t time.Time) []objectstore.Host {
 	for _, s := range slices.Backward(l.states) {
 		if !s.at.After(t) {
 			return s.hosts
@@ -43,17 +43,17 @@
 
 // replace stores the entry for id, or removes it if h is nil. An entry that
 // does not change makes no new state, since hosts may register again and again.
-func (l *hostLog) replace(now time.Time, id string, h *platform.Host) {
+func (l *hostLog) replace(now time.Time, id string, h *objectstore.Host) {
 	old := l.newest()
-	i := slices.IndexFunc(old, func(o platform.Host) bool { return o.ID == id })
+	i := slices.IndexFunc(old, func(o objectstore.Host) bool { return o.ID == id })
 	if (h == nil && i < 0) || (h != nil && i >= 0 && old[i] == *h) {
 		return
 	}
-	hosts := slices.DeleteFunc(slices.Clone(old), func(o platform.Host) bool { return o.ID == id })
+	hosts := slices.DeleteFunc(slices.Clone(old), func(o objectstore.Host) bool { return o.ID == id })
 	if h != nil {
 		hosts = append(hosts, *h)
 	}
-	slices.SortFunc(hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, func(a, b objectstore.Host) int { return strings.Compare(a.ID, b.ID) })
 	l.states = append(l.states, hostState{at: now, hosts: hosts})
 	l.prune(now)
 }
@@ -68,7 +68,7 @@
 }
 
 // SetHost adds or replaces an entry, as the platform itself does.
-func (p *Platform) SetHost(h platform.Host) {
+func (p *Platform) SetHost(h objectstore.Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts.replace(time.Now(), h.ID, &h)
@@ -82,13 +82,13 @@
 }
 
 // CurrentHosts returns the host list without its lag.
-func (p *Platform) CurrentHosts() []platform.Host {
+func (p *Platform) CurrentHosts() []objectstore.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.hosts.newest())
 }
 
-func (p *Platform) listHosts(ctx context.Context, dataCentre string) ([]platform.Host, error) {
+func (p *Platform) listHosts(ctx context.Context, dataCentre string) ([]objectstore.Host, error) {
 	from := origin{dataCentre: dataCentre}
 	if err := p.enter(ctx, from); err != nil {
 		return nil, err
@@ -97,14 +97,14 @@
 	return hosts, p.leave(ctx, from)
 }
 
-func (p *Platform) laggingHosts() []platform.Host {
+func (p *Platform) laggingHosts() []objectstore.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.hosts.at(time.Now().Add(-p.faults.hostListLag())))
 }
 
 // writeHost adds, replaces or, if h is nil, removes the entry for id.
-func (p *Platform) writeHost(ctx context.Context, dataCentre, id string, h *platform.Host) error {
+func (p *Platform) writeHost(ctx context.Context, dataCentre, id string, h *objectstore.Host) error {
 	from := origin{dataCentre: dataCentre, write: true}
 	if err := p.enter(ctx, from); err != nil {
 		return err
--- a/internal/standin/platformstandin/http.go
+++ b/internal/standin/platformstandin/http.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 const (
@@ -83,13 +83,13 @@
 		return
 	}
 	if hosts == nil {
-		hosts = []platform.Host{}
+		hosts = []objectstore.Host{}
 	}
 	writeJSON(w, hosts)
 }
 
 func (p *Platform) servePutHost(w http.ResponseWriter, r *http.Request) {
-	var h platform.Host
+	var h objectstore.Host
 	body, err := readBody(w, r)
 	if err != nil {
 		writeFault(w, err)
@@ -111,8 +111,8 @@
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) || len(body) > platform.MaxValueBytes {
-		return nil, platform.ErrTooLarge
+	if errors.As(err, &tooLarge) || len(body) > objectstore.MaxValueBytes {
+		return nil, objectstore.ErrTooLarge
 	}
 	if err != nil {
 		return nil, errCut
@@ -121,7 +121,7 @@
 }
 
 // writeObject answers with an object, or with the error and the version.
-func writeObject(w http.ResponseWriter, o platform.Object, err error) {
+func writeObject(w http.ResponseWriter, o objectstore.Object, err error) {
 	w.Header().Set("ETag", strconv.FormatUint(o.Version, 10))
 	if err != nil {
 		writeFault(w, err)
@@ -140,7 +140,7 @@
 		w.WriteHeader(http.StatusOK)
 	case errors.Is(err, errCut):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrTimeout):
+	case errors.Is(err, objectstore.ErrTimeout):
 		w.WriteHeader(http.StatusNotModified)
 	default:
 		http.Error(w, err.Error(), faultStatus(err))
@@ -149,11 +149,11 @@
 
 func faultStatus(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return http.StatusConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, errOverRate):
 		return http.StatusTooManyRequests
--- a/internal/standin/platformstandin/platform.go
+++ b/internal/standin/platformstandin/platform.go
@@ -15,10 +15,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
-// Ways in which a call ends other than those of package platform. The handler
+// Ways in which a call ends other than those of package objectstore. The handler
 // and Direct convert them.
 var (
 	errOutage   = errors.New("outage")
@@ -30,7 +30,7 @@
 // testing/synctest bubble.
 type Platform struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	hosts   hostLog
 	faults  Faults
 	rng     *rand.Rand
@@ -44,7 +44,7 @@
 // answers are lost.
 func New(seed uint64, f Faults) *Platform {
 	return &Platform{
-		objects: make(map[string]platform.Object),
+		objects: make(map[string]objectstore.Object),
 		faults:  f.clone(),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 		changed: make(chan struct{}),
@@ -124,23 +124,23 @@
 	}
 }
 
-func (p *Platform) get(ctx context.Context, dataCentre, name string) (platform.Object, error) {
+func (p *Platform) get(ctx context.Context, dataCentre, name string) (objectstore.Object, error) {
 	from := origin{dataCentre: dataCentre}
 	if err := p.enter(ctx, from); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	o, _ := p.load(name)
 	if err := p.leave(ctx, from); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if o.Version == 0 {
-		return o, platform.ErrNotFound
+		return o, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
 // load returns the object and the channel that is closed at the next change.
-func (p *Platform) load(name string) (platform.Object, <-chan struct{}) {
+func (p *Platform) load(name string) (objectstore.Object, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.objects[name]
@@ -151,16 +151,16 @@
 
 // watch waits until the version is above after, the poll ends, or a fault ends
 // it. A watch on an absent object waits for its creation.
-func (p *Platform) watch(ctx context.Context, dataCentre, name string, after uint64, wait time.Duration) (platform.Object, error) {
+func (p *Platform) watch(ctx context.Context, dataCentre, name string, after uint64, wait time.Duration) (objectstore.Object, error) {
 	from := origin{dataCentre: dataCentre}
 	if err := p.enter(ctx, from); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		if err := p.pass(ctx, from); err != nil {
-			return platform.Object{}, err
+			return objectstore.Object{}, err
 		}
 		o, changed := p.load(name)
 		if o.Version > after {
@@ -169,21 +169,21 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return platform.Object{}, errCut
+			return objectstore.Object{}, errCut
 		case <-timer.C:
-			return o, platform.ErrTimeout
+			return o, objectstore.ErrTimeout
 		}
 	}
 }
 
 // put makes a conditional update. With Faults.LateWrites it goes on when the
 // caller gives up, so that the change may take effect after the call returned.
-func (p *Platform) put(ctx context.Context, dataCentre, name string, base uint64, value []byte) (platform.Object, error) {
+func (p *Platform) put(ctx context.Context, dataCentre, name string, base uint64, value []byte) (objectstore.Object, error) {
 	if !p.Faults().LateWrites {
 		return p.update(ctx, dataCentre, name, base, value)
 	}
 	type result struct {
-		object platform.Object
+		object objectstore.Object
 		err    error
 	}
 	done := make(chan result, 1)
@@ -195,37 +195,37 @@
 	case r := <-done:
 		return r.object, r.err
 	case <-ctx.Done():
-		return platform.Object{}, errCut
+		return objectstore.Object{}, errCut
 	}
 }
 
-func (p *Platform) update(ctx context.Context, dataCentre, name string, base uint64, value []byte) (platform.Object, error) {
+func (p *Platform) update(ctx context.Context, dataCentre, name string, base uint64, value []byte) (objectstore.Object, error) {
 	from := origin{dataCentre: dataCentre, write: true}
 	if err := p.enter(ctx, from); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	o, lost, err := p.apply(dataCentre, name, base, value)
 	if err != nil {
 		return o, err
 	}
 	if lost {
-		return platform.Object{}, errCut
+		return objectstore.Object{}, errCut
 	}
 	return o, p.leave(ctx, from)
 }
 
 // apply makes the conditional update and decides whether its answer is lost.
-func (p *Platform) apply(dataCentre, name string, base uint64, value []byte) (platform.Object, bool, error) {
+func (p *Platform) apply(dataCentre, name string, base uint64, value []byte) (objectstore.Object, bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, false, platform.ErrTooLarge
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, false, objectstore.ErrTooLarge
 	}
 	current := p.objects[name]
 	if current.Version != base {
-		return platform.Object{Name: name, Version: current.Version}, false, platform.ErrConflict
+		return objectstore.Object{Name: name, Version: current.Version}, false, objectstore.ErrConflict
 	}
-	o := platform.Object{Name: name, Version: base + 1, Value: slices.Clone(value)}
+	o := objectstore.Object{Name: name, Version: base + 1, Value: slices.Clone(value)}
 	p.objects[name] = o
 	p.history.add(o, dataCentre, time.Now())
 	p.notify()
--- a/internal/standin/platformstandin/platform_test.go
+++ b/internal/standin/platformstandin/platform_test.go
@@ -11,14 +11,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
-	"github.com/marigoldlever/marigoldlever/platform/platformhttp"
+	"github.com/marigoldlever/marigoldlever/objectstore"
+	"github.com/marigoldlever/marigoldlever/objectstore/httpstore"
 )
 
 // access is what the HTTP client and Direct have in common.
 type access interface {
-	platform.Store
-	platform.HostList
+	objectstore.Store
+	objectstore.HostList
 }
 
 // eachAccess runs the test in process and over HTTP, so that the two cannot
@@ -33,8 +33,8 @@
 		server := httptest.NewServer(p.Handler())
 		defer server.Close()
 		run(t, p, func(dataCentre string) access {
-			rate := platformhttp.Rate{PerSecond: 1e6, Burst: 1e6}
-			c, err := platformhttp.New(platformhttp.Config{
+			rate := httpstore.Rate{PerSecond: 1e6, Burst: 1e6}
+			c, err := httpstore.New(httpstore.Config{
 				BaseURL: server.URL, DataCentre: dataCentre, Reads: rate, Writes: rate,
 				WatchWait: 20 * time.Second,
 			})
@@ -59,18 +59,18 @@
 	eachAccess(t, func(t *testing.T, p *Platform, from func(string) access) {
 		s := from("bole")
 		_, err := s.Get(t.Context(), "a/b")
-		wantError(t, "absent", err, platform.ErrNotFound)
+		wantError(t, "absent", err, objectstore.ErrNotFound)
 		o, err := s.Put(t.Context(), "a/b", 0, []byte("one"))
 		if err != nil || o.Version != 1 {
 			t.Fatalf("create: %+v, %v", o, err)
 		}
 		o, err = s.Put(t.Context(), "a/b", 0, []byte("two"))
-		wantError(t, "stale base", err, platform.ErrConflict)
+		wantError(t, "stale base", err, objectstore.ErrConflict)
 		if o.Version != 1 {
 			t.Errorf("conflict states version %d, want 1", o.Version)
 		}
-		_, err = s.Put(t.Context(), "a/b", 1, make([]byte, platform.MaxValueBytes+1))
-		wantError(t, "large value", err, platform.ErrTooLarge)
+		_, err = s.Put(t.Context(), "a/b", 1, make([]byte, objectstore.MaxValueBytes+1))
+		wantError(t, "large value", err, objectstore.ErrTooLarge)
 		o, err = s.Get(t.Context(), "a/b")
 		if err != nil || string(o.Value) != "one" || o.Version != 1 || o.Name != "a/b" {
 			t.Errorf("read back %+v, %v", o, err)
@@ -89,14 +89,14 @@
 		put := func(base uint64) error { _, err := s.Put(t.Context(), "a", base, []byte("v")); return err }
 		get := func() error { _, err := s.Get(t.Context(), "a"); return err }
 		p.SetFaults(Faults{Outage: true})
-		wantError(t, "put in outage", put(0), platform.ErrUnavailable)
-		wantError(t, "get in outage", get(), platform.ErrUnavailable)
+		wantError(t, "put in outage", put(0), objectstore.ErrUnavailable)
+		wantError(t, "get in outage", get(), objectstore.ErrUnavailable)
 		p.SetFaults(Faults{LoseNext: 1, LosePrefix: "a"})
-		wantError(t, "lost answer", put(0), platform.ErrUnknownOutcome)
-		wantError(t, "applied all the same", put(0), platform.ErrConflict)
+		wantError(t, "lost answer", put(0), objectstore.ErrUnknownOutcome)
+		wantError(t, "applied all the same", put(0), objectstore.ErrConflict)
 		p.SetFaults(Faults{Cut: []string{"bole"}})
-		wantError(t, "put while cut", put(1), platform.ErrUnknownOutcome)
-		wantError(t, "get while cut", get(), platform.ErrUnavailable)
+		wantError(t, "put while cut", put(1), objectstore.ErrUnknownOutcome)
+		wantError(t, "get while cut", get(), objectstore.ErrUnavailable)
 		if _, err := from("kality").Put(t.Context(), "a", 1, nil); err != nil {
 			t.Errorf("another data centre while one is cut: %v", err)
 		}
@@ -113,14 +113,14 @@
 		p := New(1, Faults{WritesPerSecond: 2, ReadsPerSecond: 1})
 		s := p.Direct("bole")
 		for second := range 3 {
-			for _, want := range []error{nil, platform.ErrConflict, platform.ErrUnavailable} {
+			for _, want := range []error{nil, objectstore.ErrConflict, objectstore.ErrUnavailable} {
 				_, err := s.Put(t.Context(), "a", uint64(second), nil)
 				wantError(t, "put", err, want)
 			}
 			_, err := s.Get(t.Context(), "a")
 			wantError(t, "get within the rate", err, nil)
 			_, err = s.Hosts(t.Context())
-			wantError(t, "list over the rate", err, platform.ErrUnavailable)
+			wantError(t, "list over the rate", err, objectstore.ErrUnavailable)
 			time.Sleep(time.Second)
 		}
 	})
@@ -133,7 +133,7 @@
 		p := New(1, Faults{})
 		s := p.Direct("bole")
 		type result struct {
-			o   platform.Object
+			o   objectstore.Object
 			err error
 		}
 		watch := func(after uint64) <-chan result {
@@ -152,17 +152,17 @@
 			t.Errorf("creation: %+v", r)
 		}
 		start := time.Now()
-		wantError(t, "no change", (<-watch(1)).err, platform.ErrTimeout)
+		wantError(t, "no change", (<-watch(1)).err, objectstore.ErrTimeout)
 		if got := time.Since(start); got != directWatchWait {
 			t.Errorf("poll took %v", got)
 		}
 		cut := watch(1)
 		p.ChangeFaults(func(f *Faults) { f.Cut = []string{"bole"} })
-		wantError(t, "cut", (<-cut).err, platform.ErrUnavailable)
+		wantError(t, "cut", (<-cut).err, objectstore.ErrUnavailable)
 		p.SetFaults(Faults{})
 		outage := watch(1)
 		p.SetFaults(Faults{Outage: true})
-		wantError(t, "outage", (<-outage).err, platform.ErrUnavailable)
+		wantError(t, "outage", (<-outage).err, objectstore.ErrUnavailable)
 	})
 }
 
@@ -179,11 +179,11 @@
 			t.Error("the change is not applied while its answer is delayed")
 		}
 		p.ChangeFaults(func(f *Faults) { f.Cut = []string{"bole"}; f.CutHangs = true })
-		wantError(t, "cut while the answer is under way", <-late, platform.ErrUnknownOutcome)
+		wantError(t, "cut while the answer is under way", <-late, objectstore.ErrUnknownOutcome)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := s.Put(ctx, "a", 1, nil)
-		wantError(t, "held call", err, platform.ErrUnknownOutcome)
+		wantError(t, "held call", err, objectstore.ErrUnknownOutcome)
 		if len(p.History()) != 1 {
 			t.Error("a held call was applied")
 		}
@@ -205,7 +205,7 @@
 			cancel()
 		}()
 		_, err := s.Put(ctx, "a", 0, nil)
-		wantError(t, "held write", err, platform.ErrUnknownOutcome)
+		wantError(t, "held write", err, objectstore.ErrUnknownOutcome)
 		if len(p.History()) != 0 {
 			t.Fatal("a held write was applied")
 		}
@@ -222,7 +222,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := New(1, Faults{HostListLagMS: 5000})
 		s := p.Direct("bole")
-		if err := s.Register(t.Context(), platform.Host{ID: "h1", Role: platform.RoleEntry}); err != nil {
+		if err := s.Register(t.Context(), objectstore.Host{ID: "h1", Role: objectstore.RoleEntry}); err != nil {
 			t.Fatal(err)
 		}
 		if hosts, _ := s.Hosts(t.Context()); len(hosts) != 0 {
--- a/internal/trial/cluster.go
+++ b/internal/trial/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,23 +19,22 @@
 	"github.com/marigoldlever/marigoldlever/internal/api"
 	"github.com/marigoldlever/marigoldlever/internal/daemon"
 	"github.com/marigoldlever/marigoldlever/internal/layout"
+	"github.com/marigoldlever/marigoldlever/internal/loopback"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
 	"github.com/marigoldlever/marigoldlever/internal/standin/platformstandin"
 	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 const (
-	loopback = "127.0.0.1"
 	// firstSnapshot is the index version that upstreams hold at the start.
 	firstSnapshot = 7
 	// readyPoll is the time between two looks at whether hosts are ready.
 	readyPoll = 50 * time.Millisecond
-	anyPort   = loopback + ":0"
-	// firstHostPort and hostPorts are the range of the hosts' ports.
-	firstHostPort = 10_000
-	hostPorts     = 20_000
-	maxPortTries  = 100
+	anyPort   = "127.0.0.1:0"
+	// firstUpstream is the address from which a layout numbers its upstreams; the
+	// stand-ins listen on free ports instead.
+	firstUpstream = "127.0.0.1:20000"
 )
 
 // Options describe a trial.
@@ -122,7 +120,7 @@
 func (c *Cluster) startUpstreams() (map[string]string, error) {
 	addresses := make(map[string]string)
 	for _, name := range c.Options.Layout.DataCentres {
-		cfg, err := c.Options.Layout.StandIn(name, netip.MustParseAddrPort(loopback+":20000"), c.Options.Work)
+		cfg, err := c.Options.Layout.StandIn(name, netip.MustParseAddrPort(firstUpstream), c.Options.Work)
 		if err != nil {
 			return nil, err
 		}
@@ -136,13 +134,13 @@
 			return nil, err
 		}
 		c.Centres[name] = centre
-		own, err := centre.ListenEach(loopback)
+		own, err := centre.ListenEach(loopback.Host)
 		if err != nil {
 			return nil, err
 		}
 		for id, address := range own {
 			addresses[id] = address
-			c.Platform.SetHost(platform.Host{ID: id, Role: platform.RoleUpstream, DataCentre: name})
+			c.Platform.SetHost(objectstore.Host{ID: id, Role: objectstore.RoleUpstream, DataCentre: name})
 		}
 	}
 	return addresses, nil
@@ -166,7 +164,7 @@
 }
 
 func (c *Cluster) hostSettings(id, centre string) (settings.Settings, error) {
-	ports, err := freeAddresses(2)
+	ports, err := loopback.Addresses(2)
 	if err != nil {
 		return settings.Settings{}, err
 	}
@@ -188,29 +186,9 @@
 	return s, nil
 }
 
-// freeAddresses returns loopback addresses with ports that were free just now. The
-// ports are below the range that the system gives to outgoing connections, so that
-// none of those takes the port of a host that is stopped and started again.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for try := 0; len(addresses) < n; try++ {
-		port := firstHostPort + rand.IntN(hostPorts)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, port))
-		if err != nil {
-			if try == maxPortTries {
-				return nil, errors.Wrap(err, "find a free port")
-			}
-			continue
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 // configure sends the layout's document as the first patch.
 func (c *Cluster) configure(ctx context.Context, addresses map[string]string) error {
-	document := c.Options.Layout.Document(netip.MustParseAddrPort(loopback + ":20000"))
+	document := c.Options.Layout.Document(netip.MustParseAddrPort(firstUpstream))
 	for g := range document.Groups {
 		for s := range document.Groups[g].Services {
 			replicas := document.Groups[g].Services[s].Replicas
@@ -235,13 +213,17 @@
 	}
 }
 
-// AwaitReady waits until every running host is ready and owns what it will own.
+// AwaitReady waits until every running host is ready and owns what it will own. A
+// host that could not run ends the wait.
 func (c *Cluster) AwaitReady(ctx context.Context) error {
 	for _, h := range c.Hosts {
 		client := api.NewClient(h.Settings.Host.CallerAddress, 1)
 		defer client.Close()
 		for !client.Ready(ctx) || !h.owning() {
 			select {
+			case o := <-h.done:
+				h.done <- o // for Stop and Kill
+				return errors.Newf("host %s ended before it was ready: %v", h.Settings.Host.ID, o.err)
 			case <-ctx.Done():
 				return errors.Wrapf(ctx.Err(), "host %s is not ready", h.Settings.Host.ID)
 			case <-time.After(readyPoll):
--- a/internal/trial/load_test.go
+++ b/internal/trial/load_test.go
@@ -76,7 +76,7 @@
 func startTraffic(t *testing.T, c *Cluster, queries, executes int) *traffic {
 	t.Helper()
 	f := &traffic{cluster: c, groupOf: make(map[string]string)}
-	for _, r := range c.Options.Layout.Replicas(netip.MustParseAddrPort(loopback + ":20000")) {
+	for _, r := range c.Options.Layout.Replicas(netip.MustParseAddrPort(firstUpstream)) {
 		f.groupOf[r.Service] = r.Group
 	}
 	for i, address := range c.Addresses("") {
--- a/internal/trial/upstreams_test.go
+++ b/internal/trial/upstreams_test.go
@@ -13,7 +13,7 @@
 	"github.com/marigoldlever/marigoldlever/internal/api"
 	"github.com/marigoldlever/marigoldlever/internal/standin/upstreamstandin"
 	"github.com/marigoldlever/marigoldlever/internal/trial/history"
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -286,7 +286,7 @@
 
 func (c *Cluster) leave(t *testing.T, centre, replica string, mode upstreamstandin.LeaveMode, listed bool) {
 	t.Helper()
-	c.Platform.SetHost(platform.Host{ID: replica, Role: platform.RoleUpstream, DataCentre: centre, Leaving: listed})
+	c.Platform.SetHost(objectstore.Host{ID: replica, Role: objectstore.RoleUpstream, DataCentre: centre, Leaving: listed})
 	if err := c.Centres[centre].Leave(upstreamstandin.Selector(replica), mode); err != nil {
 		t.Fatal(err)
 	}
--- a/platform/platformhttp/budget.go
+++ b/objectstore/httpstore/budget.go
@@ -1,4 +1,4 @@
-package platformhttp
+package httpstore
 
 import (
 	"sync"
--- a/platform/platformhttp/client.go
+++ b/objectstore/httpstore/client.go
@@ -1,13 +1,13 @@
-// Package platformhttp is the HTTP client of the platform's object API and host
+// Package httpstore is the HTTP client of the platform's object API and host
 // list.
 //
 // Every call is charged to a budget of this host, reads and writes apart, and
-// refused with platform.ErrBudget when the budget is used up. A call that the
-// platform refuses, or that surely was not sent, is platform.ErrUnavailable. A
+// refused with objectstore.ErrBudget when the budget is used up. A call that the
+// platform refuses, or that surely was not sent, is objectstore.ErrUnavailable. A
 // Put that was sent and whose reply is lost, late or cut short is
-// platform.ErrUnknownOutcome: the platform may apply it even after the call
+// objectstore.ErrUnknownOutcome: the platform may apply it even after the call
 // has returned.
-package platformhttp
+package httpstore
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/marigoldlever/marigoldlever/internal/sendtrace"
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // HeaderDataCentre names the data centre that a request comes from.
@@ -54,7 +54,7 @@
 	Metrics metrics.Registry
 }
 
-// Client implements platform.Store and platform.HostList over HTTP.
+// Client implements objectstore.Store and objectstore.HostList over HTTP.
 type Client struct {
 	cfg           Config
 	base          *url.URL
@@ -65,8 +65,8 @@
 }
 
 var (
-	_ platform.Store    = (*Client)(nil)
-	_ platform.HostList = (*Client)(nil)
+	_ objectstore.Store    = (*Client)(nil)
+	_ objectstore.HostList = (*Client)(nil)
 )
 
 type counters struct {
@@ -168,7 +168,7 @@
 	}
 	if !b.take(c.cfg.Now()) {
 		c.counters.overBudget.Inc(1)
-		return errors.Wrapf(platform.ErrBudget, "%s %s", k.method, k.path)
+		return errors.Wrapf(objectstore.ErrBudget, "%s %s", k.method, k.path)
 	}
 	counter.Inc(1)
 	return nil
@@ -185,16 +185,16 @@
 	var trace sendtrace.Trace
 	req, err := c.request(trace.Attach(ctx), k)
 	if err != nil {
-		return reply{}, failure(platform.ErrUnavailable, k, err)
+		return reply{}, failure(objectstore.ErrUnavailable, k, err)
 	}
 	r, err := roundTrip(c.http, req, k.maxReply)
 	if err == nil {
 		return r, nil
 	}
 	if k.write() && trace.Sent() {
-		return reply{}, failure(platform.ErrUnknownOutcome, k, err)
+		return reply{}, failure(objectstore.ErrUnknownOutcome, k, err)
 	}
-	return reply{}, failure(platform.ErrUnavailable, k, err)
+	return reply{}, failure(objectstore.ErrUnavailable, k, err)
 }
 
 func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
@@ -240,7 +240,7 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// failure wraps one of the errors of package platform with what was seen.
+// failure wraps one of the errors of package objectstore with what was seen.
 func failure(kind error, k call, cause any) error {
 	return errors.Wrapf(kind, "%s %s: %v", k.method, k.path, cause)
 }
--- a/platform/platformhttp/client_test.go
+++ b/objectstore/httpstore/client_test.go
@@ -1,4 +1,4 @@
-package platformhttp
+package httpstore
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 var ample = Rate{PerSecond: 1000, Burst: 1000}
@@ -59,17 +59,17 @@
 		handler http.HandlerFunc
 		want    error
 	}{
-		"conflict":          {status(http.StatusConflict), platform.ErrConflict},
-		"too large":         {status(http.StatusRequestEntityTooLarge), platform.ErrTooLarge},
-		"over the rate":     {status(http.StatusTooManyRequests), platform.ErrUnavailable},
-		"outage":            {status(http.StatusServiceUnavailable), platform.ErrUnavailable},
-		"bad request":       {status(http.StatusBadRequest), platform.ErrUnavailable},
-		"internal error":    {status(http.StatusInternalServerError), platform.ErrUnknownOutcome},
-		"gateway timeout":   {status(http.StatusGatewayTimeout), platform.ErrUnknownOutcome},
-		"redirect":          {status(http.StatusTemporaryRedirect), platform.ErrUnknownOutcome},
-		"reply lost":        {abort, platform.ErrUnknownOutcome},
-		"reply cut short":   {cutShort, platform.ErrUnknownOutcome},
-		"no version stated": {func(http.ResponseWriter, *http.Request) {}, platform.ErrUnknownOutcome},
+		"conflict":          {status(http.StatusConflict), objectstore.ErrConflict},
+		"too large":         {status(http.StatusRequestEntityTooLarge), objectstore.ErrTooLarge},
+		"over the rate":     {status(http.StatusTooManyRequests), objectstore.ErrUnavailable},
+		"outage":            {status(http.StatusServiceUnavailable), objectstore.ErrUnavailable},
+		"bad request":       {status(http.StatusBadRequest), objectstore.ErrUnavailable},
+		"internal error":    {status(http.StatusInternalServerError), objectstore.ErrUnknownOutcome},
+		"gateway timeout":   {status(http.StatusGatewayTimeout), objectstore.ErrUnknownOutcome},
+		"redirect":          {status(http.StatusTemporaryRedirect), objectstore.ErrUnknownOutcome},
+		"reply lost":        {abort, objectstore.ErrUnknownOutcome},
+		"reply cut short":   {cutShort, objectstore.ErrUnknownOutcome},
+		"no version stated": {func(http.ResponseWriter, *http.Request) {}, objectstore.ErrUnknownOutcome},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -78,7 +78,7 @@
 			if !errors.Is(err, test.want) {
 				t.Fatalf("error %v, want %v", err, test.want)
 			}
-			if test.want == platform.ErrConflict && o.Version != 3 {
+			if test.want == objectstore.ErrConflict && o.Version != 3 {
 				t.Errorf("conflict states version %d, want 3", o.Version)
 			}
 		})
@@ -97,11 +97,11 @@
 		handler http.HandlerFunc
 		want    error
 	}{
-		"absent":          {status(http.StatusNotFound), platform.ErrNotFound},
-		"outage":          {status(http.StatusServiceUnavailable), platform.ErrUnavailable},
-		"reply lost":      {abort, platform.ErrUnavailable},
-		"reply cut short": {cutShort, platform.ErrUnavailable},
-		"no framing":      {unframed, platform.ErrUnavailable},
+		"absent":          {status(http.StatusNotFound), objectstore.ErrNotFound},
+		"outage":          {status(http.StatusServiceUnavailable), objectstore.ErrUnavailable},
+		"reply lost":      {abort, objectstore.ErrUnavailable},
+		"reply cut short": {cutShort, objectstore.ErrUnavailable},
+		"no framing":      {unframed, objectstore.ErrUnavailable},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -128,7 +128,7 @@
 		<-received
 		cancel()
 	}()
-	if _, err := c.Put(ctx, "a", 0, []byte("v")); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if _, err := c.Put(ctx, "a", 0, []byte("v")); !errors.Is(err, objectstore.ErrUnknownOutcome) {
 		t.Fatalf("error %v, want unknown outcome", err)
 	}
 }
@@ -142,13 +142,13 @@
 	}
 	refused := "http://" + l.Addr().String()
 	l.Close()
-	if _, err := newClient(t, refused, nil).Put(t.Context(), "a", 0, nil); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := newClient(t, refused, nil).Put(t.Context(), "a", 0, nil); !errors.Is(err, objectstore.ErrUnavailable) {
 		t.Errorf("refused dial: %v, want unavailable", err)
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	c := newClient(t, serve(t, status(http.StatusOK)), nil)
-	if _, err := c.Put(ended, "a", 0, nil); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := c.Put(ended, "a", 0, nil); !errors.Is(err, objectstore.ErrUnavailable) {
 		t.Errorf("ended context: %v, want unavailable", err)
 	}
 }
@@ -174,8 +174,8 @@
 		call func() error
 		want error
 	}{
-		{0, get, nil}, {0, get, nil}, {0, get, platform.ErrBudget}, {0, put, nil}, {0, put, platform.ErrBudget},
-		{500 * time.Millisecond, get, nil}, {0, put, platform.ErrBudget}, {500 * time.Millisecond, put, nil},
+		{0, get, nil}, {0, get, nil}, {0, get, objectstore.ErrBudget}, {0, put, nil}, {0, put, objectstore.ErrBudget},
+		{500 * time.Millisecond, get, nil}, {0, put, objectstore.ErrBudget}, {500 * time.Millisecond, put, nil},
 	}
 	for i, s := range steps {
 		now = now.Add(s.wait)
--- a/platform/platformhttp/example_test.go
+++ b/objectstore/httpstore/example_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package httpstore_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 
-	"github.com/marigoldlever/marigoldlever/platform/platformhttp"
+	"github.com/marigoldlever/marigoldlever/objectstore/httpstore"
 )
 
 func Example() {
@@ -14,11 +14,11 @@
 		w.Header().Set("ETag", "8")
 	}))
 	defer server.Close()
-	client, err := platformhttp.New(platformhttp.Config{
+	client, err := httpstore.New(httpstore.Config{
 		BaseURL:    server.URL,
 		DataCentre: "bole",
-		Reads:      platformhttp.Rate{PerSecond: 20, Burst: 40},
-		Writes:     platformhttp.Rate{PerSecond: 5, Burst: 10},
+		Reads:      httpstore.Rate{PerSecond: 20, Burst: 40},
+		Writes:     httpstore.Rate{PerSecond: 5, Burst: 10},
 	})
 	if err != nil {
 		fmt.Println(err)
--- a/platform/platformhttp/store.go
+++ b/objectstore/httpstore/store.go
@@ -1,4 +1,4 @@
-package platformhttp
+package httpstore
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 const (
@@ -21,37 +21,37 @@
 	hostsPath   = "/v1/hosts"
 )
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, name string) (platform.Object, error) {
-	k := call{method: http.MethodGet, path: objectPath(name), timeout: c.cfg.CallTimeout, maxReply: platform.MaxValueBytes}
+// Get implements objectstore.Store.
+func (c *Client) Get(ctx context.Context, name string) (objectstore.Object, error) {
+	k := call{method: http.MethodGet, path: objectPath(name), timeout: c.cfg.CallTimeout, maxReply: objectstore.MaxValueBytes}
 	r, err := c.do(ctx, k)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	return readObject(k, name, r)
 }
 
-// Watch implements platform.Store. A platform.ErrTimeout comes from the
+// Watch implements objectstore.Store. A objectstore.ErrTimeout comes from the
 // platform only, so it proves that the version was still current after the
 // call was sent.
-func (c *Client) Watch(ctx context.Context, name string, after uint64) (platform.Object, error) {
+func (c *Client) Watch(ctx context.Context, name string, after uint64) (objectstore.Object, error) {
 	query := url.Values{}
 	query.Set("after", strconv.FormatUint(after, 10))
 	query.Set("wait_ms", strconv.FormatInt(c.watchWait(ctx).Milliseconds(), 10))
 	k := call{
 		method: http.MethodGet, path: objectPath(name), query: query,
-		timeout: c.cfg.WatchWait + c.cfg.CallTimeout, maxReply: platform.MaxValueBytes,
+		timeout: c.cfg.WatchWait + c.cfg.CallTimeout, maxReply: objectstore.MaxValueBytes,
 	}
 	r, err := c.do(ctx, k)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if r.status == http.StatusNotModified {
-		return platform.Object{}, failure(platform.ErrTimeout, k, "no change")
+		return objectstore.Object{}, failure(objectstore.ErrTimeout, k, "no change")
 	}
 	o, err := readObject(k, name, r)
 	if err == nil && o.Version <= after {
-		return platform.Object{}, failure(platform.ErrUnavailable, k, "watch returned an old version")
+		return objectstore.Object{}, failure(objectstore.ErrUnavailable, k, "watch returned an old version")
 	}
 	return o, err
 }
@@ -71,54 +71,54 @@
 // answer.
 const watchMargin = 3
 
-// Put implements platform.Store. With platform.ErrConflict the returned object
+// Put implements objectstore.Store. With objectstore.ErrConflict the returned object
 // holds the current version where the platform stated it, and no value.
-func (c *Client) Put(ctx context.Context, name string, base uint64, value []byte) (platform.Object, error) {
+func (c *Client) Put(ctx context.Context, name string, base uint64, value []byte) (objectstore.Object, error) {
 	k := call{
 		method: http.MethodPut, path: objectPath(name), body: value,
 		header:  http.Header{"If-Match": {strconv.FormatUint(base, 10)}},
 		timeout: c.cfg.CallTimeout, maxReply: maxErrorBytes,
 	}
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, failure(platform.ErrTooLarge, k, len(value))
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, failure(objectstore.ErrTooLarge, k, len(value))
 	}
 	r, err := c.do(ctx, k)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	version, versionErr := etag(r)
 	err = writeError(k, r)
-	if errors.Is(err, platform.ErrConflict) {
-		return platform.Object{Name: name, Version: version}, err
+	if errors.Is(err, objectstore.ErrConflict) {
+		return objectstore.Object{Name: name, Version: version}, err
 	}
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if versionErr != nil {
-		return platform.Object{}, failure(platform.ErrUnknownOutcome, k, versionErr)
+		return objectstore.Object{}, failure(objectstore.ErrUnknownOutcome, k, versionErr)
 	}
-	return platform.Object{Name: name, Version: version, Value: value}, nil
+	return objectstore.Object{Name: name, Version: version, Value: value}, nil
 }
 
-// Hosts implements platform.HostList.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements objectstore.HostList.
+func (c *Client) Hosts(ctx context.Context) ([]objectstore.Host, error) {
 	k := call{method: http.MethodGet, path: hostsPath, timeout: c.cfg.CallTimeout, maxReply: maxHostListBytes}
 	r, err := c.do(ctx, k)
 	if err != nil {
 		return nil, err
 	}
 	if r.status != http.StatusOK {
-		return nil, failure(platform.ErrUnavailable, k, statusText(r))
+		return nil, failure(objectstore.ErrUnavailable, k, statusText(r))
 	}
-	var hosts []platform.Host
+	var hosts []objectstore.Host
 	if err := json.Unmarshal(r.body, &hosts); err != nil {
-		return nil, failure(platform.ErrUnavailable, k, err)
+		return nil, failure(objectstore.ErrUnavailable, k, err)
 	}
 	return hosts, nil
 }
 
-// Register implements platform.HostList.
-func (c *Client) Register(ctx context.Context, h platform.Host) error {
+// Register implements objectstore.HostList.
+func (c *Client) Register(ctx context.Context, h objectstore.Host) error {
 	value, err := json.Marshal(h)
 	if err != nil {
 		return errors.Wrapf(err, "host %s", h.ID)
@@ -126,11 +126,11 @@
 	return c.writeHost(ctx, http.MethodPut, h.ID, value)
 }
 
-// Deregister implements platform.HostList. An entry that is already absent is
+// Deregister implements objectstore.HostList. An entry that is already absent is
 // no error.
 func (c *Client) Deregister(ctx context.Context, id string) error {
 	err := c.writeHost(ctx, http.MethodDelete, id, nil)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil
 	}
 	return err
@@ -149,19 +149,19 @@
 }
 
 // readObject converts the reply to a Get or Watch.
-func readObject(k call, name string, r reply) (platform.Object, error) {
+func readObject(k call, name string, r reply) (objectstore.Object, error) {
 	switch r.status {
 	case http.StatusOK:
 	case http.StatusNotFound:
-		return platform.Object{}, failure(platform.ErrNotFound, k, statusText(r))
+		return objectstore.Object{}, failure(objectstore.ErrNotFound, k, statusText(r))
 	default:
-		return platform.Object{}, failure(platform.ErrUnavailable, k, statusText(r))
+		return objectstore.Object{}, failure(objectstore.ErrUnavailable, k, statusText(r))
 	}
 	version, err := etag(r)
 	if err != nil {
-		return platform.Object{}, failure(platform.ErrUnavailable, k, err)
+		return objectstore.Object{}, failure(objectstore.ErrUnavailable, k, err)
 	}
-	return platform.Object{Name: name, Version: version, Value: r.body}, nil
+	return objectstore.Object{Name: name, Version: version, Value: r.body}, nil
 }
 
 // writeError converts the status of a reply to a write. The platform applies
@@ -172,15 +172,15 @@
 	case r.status == http.StatusOK, r.status == http.StatusCreated, r.status == http.StatusNoContent:
 		return nil
 	case r.status == http.StatusNotFound:
-		return failure(platform.ErrNotFound, k, statusText(r))
+		return failure(objectstore.ErrNotFound, k, statusText(r))
 	case r.status == http.StatusConflict:
-		return failure(platform.ErrConflict, k, statusText(r))
+		return failure(objectstore.ErrConflict, k, statusText(r))
 	case r.status == http.StatusRequestEntityTooLarge:
-		return failure(platform.ErrTooLarge, k, statusText(r))
+		return failure(objectstore.ErrTooLarge, k, statusText(r))
 	case r.status == http.StatusServiceUnavailable, r.status >= 400 && r.status < 500:
-		return failure(platform.ErrUnavailable, k, statusText(r))
+		return failure(objectstore.ErrUnavailable, k, statusText(r))
 	default:
-		return failure(platform.ErrUnknownOutcome, k, statusText(r))
+		return failure(objectstore.ErrUnknownOutcome, k, statusText(r))
 	}
 }
 
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,11 +1,11 @@
-// Package platform defines what the system uses of the platform it runs on: an
+// Package objectstore defines what the system uses of the platform it runs on: an
 // object API with versions, conditional updates and watches, and a host list.
 //
 // Everything that must outlive a host is stored through Store. The errors tell
 // a change that surely did not take effect (ErrConflict, ErrUnavailable,
 // ErrBudget) from one that may have (ErrUnknownOutcome); a caller that gets the
 // latter has to read the object back before it acts.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/once"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // bench drives one machine with one journal. Each update carries the claims of
@@ -37,7 +37,7 @@
 	for _, a := range acts {
 		switch a := a.(type) {
 		case once.Read:
-			b.take(b.m.ReadDone(b.now, 0, platform.Object{}, nil))
+			b.take(b.m.ReadDone(b.now, 0, objectstore.Object{}, nil))
 		case once.Write:
 			b.update = &a
 		case once.Dispatch:
@@ -60,7 +60,7 @@
 	}
 	if u := b.update; u != nil {
 		b.update = nil
-		b.take(b.m.WriteDone(b.now, 0, platform.Object{Version: u.Base + 1}, nil))
+		b.take(b.m.WriteDone(b.now, 0, objectstore.Object{Version: u.Base + 1}, nil))
 	}
 }
 
--- a/once/config.go
+++ b/once/config.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
 // Config holds the settings of a Machine. Journals, MaxAge and ClockError must
@@ -58,7 +58,7 @@
 		ClaimWait:       time.Second,
 		OutcomeDelay:    500 * time.Millisecond,
 		UpdateInterval:  100 * time.Millisecond,
-		MaxJournalBytes: platform.MaxValueBytes - 4<<10,
+		MaxJournalBytes: objectstore.MaxValueBytes - 4<<10,
 		ClaimReserve:    claimReserve,
 		MaxResultBytes:  256,
 		CacheTime:       time.Minute,
@@ -76,8 +76,8 @@
 		return errors.New("batch, pending, tries and down-after must be at least 1")
 	case c.MinBackoff <= 0 || c.MaxBackoff < c.MinBackoff:
 		return errors.New("backoff must be positive and its maximum not below its minimum")
-	case c.MaxJournalBytes > platform.MaxValueBytes:
-		return errors.Newf("journal size %d is above %d bytes", c.MaxJournalBytes, platform.MaxValueBytes)
+	case c.MaxJournalBytes > objectstore.MaxValueBytes:
+		return errors.Newf("journal size %d is above %d bytes", c.MaxJournalBytes, objectstore.MaxValueBytes)
 	case c.ClaimReserve < 0 || c.ClaimReserve >= c.MaxJournalBytes:
 		return errors.Newf("claim reserve %d is not below the journal size %d", c.ClaimReserve, c.MaxJournalBytes)
 	}
--- a/once/example_test.go
+++ b/once/example_test.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/once"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // Records a payout slip, runs it, and answers a resend from the journal.
@@ -18,7 +18,7 @@
 		fmt.Println(err)
 		return
 	}
-	journals := map[int]platform.Object{}
+	journals := map[int]objectstore.Object{}
 	result := once.DispatchResult{Kind: once.DispatchRan, Body: json.RawMessage(`{"slip":7}`)}
 	var run func(acts []once.Action)
 	run = func(acts []once.Action) {
@@ -27,7 +27,7 @@
 			case once.Read:
 				run(m.ReadDone(now, a.Journal, journals[a.Journal], nil))
 			case once.Write:
-				journals[a.Journal] = platform.Object{Version: a.Base + 1, Value: a.Value}
+				journals[a.Journal] = objectstore.Object{Version: a.Base + 1, Value: a.Value}
 				run(m.WriteDone(now, a.Journal, journals[a.Journal], nil))
 			case once.Dispatch:
 				fmt.Println("dispatch to", a.Submission.Service)
--- a/once/machine_test.go
+++ b/once/machine_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/once"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // Fixes the random choices of rapid; a flag on the command line still wins.
@@ -26,7 +26,7 @@
 		func(c *once.Config) { c.MaxAge = 0 },
 		func(c *once.Config) { c.MaxBatch = 0 },
 		func(c *once.Config) { c.MaxBackoff = 0 },
-		func(c *once.Config) { c.MaxJournalBytes = platform.MaxValueBytes + 1 },
+		func(c *once.Config) { c.MaxJournalBytes = objectstore.MaxValueBytes + 1 },
 		func(c *once.Config) { c.ClaimReserve = c.MaxJournalBytes },
 	} {
 		cfg := once.DefaultConfig()
--- a/once/settle.go
+++ b/once/settle.go
@@ -6,22 +6,22 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
-// ReadDone takes the result of a Read. platform.ErrNotFound is an empty journal.
-func (m *Machine) ReadDone(now time.Time, index int, o platform.Object, err error) []Action {
+// ReadDone takes the result of a Read. objectstore.ErrNotFound is an empty journal.
+func (m *Machine) ReadDone(now time.Time, index int, o objectstore.Object, err error) []Action {
 	j := m.journals[index]
 	if !j.reading {
 		return nil
 	}
 	j.reading = false
-	if errors.Is(err, platform.ErrNotFound) {
-		o, err = platform.Object{}, nil
+	if errors.Is(err, objectstore.ErrNotFound) {
+		o, err = objectstore.Object{}, nil
 	}
 	if err == nil && o.Version < j.version {
 		// An object version never falls; this is a read from before.
-		err = errors.Wrapf(platform.ErrUnavailable, "version %d after %d", o.Version, j.version)
+		err = errors.Wrapf(objectstore.ErrUnavailable, "version %d after %d", o.Version, j.version)
 	}
 	if err != nil {
 		return append(m.failed(now, j, err), m.advance(now, j)...)
@@ -89,7 +89,7 @@
 }
 
 // WriteDone takes the result of a Write.
-func (m *Machine) WriteDone(now time.Time, index int, o platform.Object, err error) []Action {
+func (m *Machine) WriteDone(now time.Time, index int, o objectstore.Object, err error) []Action {
 	j := m.journals[index]
 	b := j.flight
 	if b == nil {
@@ -100,17 +100,17 @@
 	switch {
 	case err == nil:
 		acts = m.written(now, j, b, o.Version)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		m.stats.Conflicts++
 		m.reached()
 		j.contended = true
 		j.rejected(b)
 		j.delay(now, m.jitter(j))
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		j.rejected(b)
 		j.delay(now, m.jitter(j))
 		acts = m.refuseQueued(j, ReasonJournalFull, 0)
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget):
+	case errors.IsAny(err, objectstore.ErrUnavailable, objectstore.ErrBudget):
 		j.rejected(b)
 		acts = m.failed(now, j, err)
 	default:
@@ -188,7 +188,7 @@
 	m.stats.Failures++
 	j.known = false
 	j.delay(now, m.jitter(j))
-	if errors.Is(err, platform.ErrBudget) {
+	if errors.Is(err, objectstore.ErrBudget) {
 		return nil
 	}
 	m.failures++
--- a/once/sim_test.go
+++ b/once/sim_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/once"
-	"github.com/marigoldlever/marigoldlever/platform"
 )
 
 // rule names a rule that a run of the simulation breaks on purpose.
@@ -47,7 +47,7 @@
 	ids     int // submissions passed to a host
 	queue   []event
 	hosts   []*simHost
-	store   map[int]platform.Object
+	store   map[int]objectstore.Object
 	outage  time.Time                        // the store refuses calls until then
 	history map[string][]porcupine.Operation // by key
 	told    map[once.Run]int
@@ -77,7 +77,7 @@
 func newSim(seed uint64, r rule, tune func(*once.Config)) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 7)), rule: r, now: epoch, cfg: once.DefaultConfig(),
-		store: map[int]platform.Object{}, told: map[once.Run]int{}, history: map[string][]porcupine.Operation{}, claims: map[string]bool{},
+		store: map[int]objectstore.Object{}, told: map[once.Run]int{}, history: map[string][]porcupine.Operation{}, claims: map[string]bool{},
 	}
 	s.cfg.Journals = 2
 	s.cfg.MaxBatch = 4
@@ -261,9 +261,9 @@
 	s.after(s.upTo(10*time.Millisecond), func() {
 		o, err, delay := s.store[a.Journal], error(nil), s.upTo(10*time.Millisecond)
 		if s.now.Before(s.outage) || s.chance(5) {
-			o, err, delay = platform.Object{}, platform.ErrUnavailable, callTimeout
+			o, err, delay = objectstore.Object{}, objectstore.ErrUnavailable, callTimeout
 		} else if o.Version == 0 {
-			err = platform.ErrNotFound
+			err = objectstore.ErrNotFound
 		}
 		s.on(h, delay, func(now time.Time) []once.Action {
 			h.calls[a.Journal]--
@@ -276,7 +276,7 @@
 // take effect long after the host has given up waiting for the answer.
 func (s *sim) write(h *simHost, now time.Time, a once.Write) []once.Action {
 	gen := h.gen
-	done := func(d time.Duration, o platform.Object, err error) {
+	done := func(d time.Duration, o objectstore.Object, err error) {
 		if h.gen != gen || s.rule == earlyDispatch {
 			return
 		}
@@ -303,10 +303,10 @@
 				lost()
 			}
 		case down:
-			done(0, platform.Object{}, platform.ErrUnavailable)
+			done(0, objectstore.Object{}, objectstore.ErrUnavailable)
 		case fate >= 97:
-			refusals := []error{platform.ErrBudget, platform.ErrTooLarge}
-			done(0, platform.Object{}, refusals[s.rng.IntN(len(refusals))])
+			refusals := []error{objectstore.ErrBudget, objectstore.ErrTooLarge}
+			done(0, objectstore.Object{}, refusals[s.rng.IntN(len(refusals))])
 		default:
 			o, err := s.put(a)
 			if fate >= 15 {
@@ -319,17 +319,17 @@
 	}
 	if s.rule == earlyDispatch {
 		h.calls[a.Journal]--
-		return h.m.WriteDone(now, a.Journal, platform.Object{Version: a.Base + 1}, nil)
+		return h.m.WriteDone(now, a.Journal, objectstore.Object{Version: a.Base + 1}, nil)
 	}
 	return nil
 }
 
-func (s *sim) put(a once.Write) (platform.Object, error) {
+func (s *sim) put(a once.Write) (objectstore.Object, error) {
 	old := s.store[a.Journal]
 	if old.Version != a.Base && s.rule != noVersionCheck {
-		return platform.Object{}, platform.ErrConflict
+		return objectstore.Object{}, objectstore.ErrConflict
 	}
-	o := platform.Object{Version: old.Version + 1, Value: a.Value}
+	o := objectstore.Object{Version: old.Version + 1, Value: a.Value}
 	s.store[a.Journal] = o
 	entries, err := once.DecodeJournal(a.Value)
 	for _, e := range entries {
@@ -341,10 +341,10 @@
 }
 
 // lost returns what the host makes of a lost answer.
-func (s *sim) lost(h *simHost, a once.Write) (platform.Object, error) {
+func (s *sim) lost(h *simHost, a once.Write) (objectstore.Object, error) {
 	switch s.rule {
 	case lostIsSuccess:
-		return platform.Object{Version: a.Base + 1}, nil
+		return objectstore.Object{Version: a.Base + 1}, nil
 	case lostIsNotRun:
 		entries, _ := once.DecodeJournal(a.Value)
 		for _, e := range entries {
@@ -353,7 +353,7 @@
 			}
 		}
 	}
-	return platform.Object{}, platform.ErrUnknownOutcome
+	return objectstore.Object{}, objectstore.ErrUnknownOutcome
 }
 
 // dispatch sends the request to the upstream, which counts runs by key.
--- a/peer/node.go
+++ b/peer/node.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/internal/wait"
 )
 
 // Node is one daemon's end of the connections to its peers. It is safe for
@@ -130,7 +132,7 @@
 		}
 		if err != nil {
 			klog.ErrorS(err, "Accepting a peer connection failed")
-			if !sleep(n.ctx, acceptPause) {
+			if !wait.For(n.ctx, acceptPause) {
 				return
 			}
 			continue
@@ -142,17 +144,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Stats returns the counters.
 func (n *Node) Stats() Stats {
 	n.mu.Lock()
@@ -264,7 +255,7 @@
 const forgetPauseAfter = time.Minute
 
 func (n *Node) sweepLoop() {
-	for sleep(n.ctx, n.cfg.IdleTimeout/4) {
+	for wait.For(n.ctx, n.cfg.IdleTimeout/4) {
 		n.sweep(time.Now())
 	}
 }
--- a/query/action.go
+++ b/query/action.go
@@ -49,6 +49,8 @@
 	Answer Answer
 	// Refusal is set if the query has no answer; Answer then has no parts.
 	Refusal *Refusal
+	// MayHaveRun is set unless all attempts surely did not run.
+	MayHaveRun bool
 }
 
 func (*Send) action()   {}
@@ -72,6 +74,7 @@
 	Replica   string
 	Partition upstream.HashRange
 	Records   json.RawMessage
+	Attempt   string // id of the attempt that was merged
 }
 
 // GroupCoverage states which share of a group's hash space the parts cover.
@@ -94,6 +97,9 @@
 	Primary int
 	// Hedges and Retries are paid from the Budget.
 	Hedges, Retries int
+	// Unpaid is the number of hedges and retries that were put off or dropped
+	// because the Allowance did not pay for them.
+	Unpaid int
 	// Repeated is the number of sub-requests sent again because the query
 	// moved to another snapshot or a range was divided anew.
 	Repeated int
@@ -137,6 +143,9 @@
 	// was sent to the upstream. Another replica may then be asked without
 	// adding load to any upstream.
 	Unsent bool
+	// NotRun means that the upstream got the request and did not run it. The
+	// attempt then does not count against MaxTries, but a new one is paid for.
+	NotRun bool
 }
 
 // FailureOf converts an error of package upstream. The snapshots held come
--- a/query/budget.go
+++ b/query/budget.go
@@ -1,11 +1,24 @@
 package query
 
+import "time"
+
+// Allowance pays for sends beyond the first of each sub-request. It is shared by
+// the queries of an event loop and not safe for concurrent use.
+type Allowance interface {
+	// Earn credits n first sends to a service.
+	Earn(now time.Time, service string, n int)
+	// Take pays for one extra send to a service and reports whether the credit
+	// was enough. A send that could as well be made later is not urgent: it
+	// leaves a reserve to those that are.
+	Take(now time.Time, service string, urgent bool) bool
+}
+
 // budgetUnit is the price of one extra send. Shares are counted in millionths
 // so that no rounding error accumulates.
 const budgetUnit = 1_000_000
 
-// Budget limits hedges and retries to a share of the primary requests. It is
-// shared by the queries of an event loop and not safe for concurrent use.
+// Budget is an Allowance that limits hedges and retries to a share of the primary
+// requests, whatever their service.
 type Budget struct {
 	perRequest int64
 	limit      int64
@@ -20,10 +33,12 @@
 }
 
 // Earn adds the share of n primary requests.
-func (b *Budget) Earn(n int) { b.credit = min(b.limit, b.credit+int64(n)*b.perRequest) }
+func (b *Budget) Earn(_ time.Time, _ string, n int) {
+	b.credit = min(b.limit, b.credit+int64(n)*b.perRequest)
+}
 
 // Take pays for one extra send and reports whether the credit was enough.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(time.Time, string, bool) bool {
 	if b.credit < budgetUnit {
 		return false
 	}
--- a/query/machine.go
+++ b/query/machine.go
@@ -16,6 +16,10 @@
 // spareAttempts is the room kept for hedges and retries.
 const spareAttempts = 16
 
+// maxNotRun is the number of sends of a task beyond MaxTries that may have been
+// refused without being run.
+const maxNotRun = 3
+
 // taskState is the progress of one sub-request.
 type taskState uint8
 
@@ -34,9 +38,11 @@
 	service    int // index into Machine.services
 	state      taskState
 	hedged     bool
+	unpaid     bool          // the allowance refused a hedge or retry
 	redirected bool          // given to another replica after an owner did not send it
 	live       int           // attempts in flight
-	tries      int           // attempts made for this snapshot
+	tries      int           // attempts for this snapshot that may have run
+	sends      int           // attempts for this snapshot, with those that surely did not run
 	tried      uint64        // bit set of replicas asked for this snapshot
 	due        time.Duration // time of the hedge or retry; never if none
 	reason     Reason        // of the last failure
@@ -64,6 +70,10 @@
 type replica struct {
 	id, dataCentre string
 	unusable       Reason
+	cold           bool
+	lapsed         bool
+	unconnected    bool
+	outOfReach     bool
 	held           []uint64
 	stats          *replicaStats
 }
@@ -91,7 +101,7 @@
 type Machine struct {
 	plan    Plan
 	stats   *Stats
-	budget  *Budget
+	budget  Allowance
 	rng     *rand.Rand
 	minimum *big.Rat
 
@@ -118,6 +128,7 @@
 	due         time.Duration // lower bound of the tasks' due times
 	abandoned   bool          // ended because the minimum cannot be reached
 	lost        bool          // a task failed since hopeless was evaluated
+	ran         bool          // an attempt may have run
 	counts      Counts
 	out         []Action
 	sends       []Send // room for the sends of a batch
@@ -129,7 +140,7 @@
 
 // New returns a machine for one query. See the package comment for how stats
 // and budget may be shared.
-func New(plan Plan, stats *Stats, budget *Budget, rng *rand.Rand) *Machine {
+func New(plan Plan, stats *Stats, budget Allowance, rng *rand.Rand) *Machine {
 	if plan.Tuning == (Tuning{}) {
 		plan.Tuning = DefaultTuning()
 	}
@@ -162,7 +173,9 @@
 	m.attempts = make([]attempt, 0, len(m.services)+spareAttempts)
 	m.begin(now, 0)
 	m.counts.Primary = len(m.attempts)
-	m.budget.Earn(len(m.attempts))
+	for i := range m.attempts {
+		m.budget.Earn(now, m.services[m.attempts[i].service].name, 1)
+	}
 	return m.settle(now)
 }
 
@@ -175,6 +188,7 @@
 	s := &m.services[a.service]
 	rep := &s.replicas[a.replica]
 	m.ended(now, a, true)
+	m.ran = true
 	if r.Attempt != id || r.Service != s.name {
 		m.counts.Dropped++
 		m.attemptFailed(now, a, Failure{Reason: ReasonBroken})
@@ -264,7 +278,7 @@
 	m.tasks[a.task].live--
 	s := &m.services[a.service]
 	r := s.replicas[a.replica].stats
-	r.inFlight--
+	r.end(m.start.Add(a.sentAt))
 	if observe {
 		latency := now.Sub(m.start) - a.sentAt
 		r.observe(now, latency)
@@ -295,7 +309,7 @@
 	merged.add(r.Partition)
 	m.parts = append(m.parts, Part{
 		Group: m.groups[t.group].name, Service: s.name, Replica: s.replicas[a.replica].id,
-		Partition: r.Partition, Records: r.Records,
+		Partition: r.Partition, Records: r.Records, Attempt: a.id,
 	})
 	if r.Partition == t.rng {
 		m.complete(now, a.task)
@@ -380,9 +394,14 @@
 	return !m.discovering && m.plan.Prefer == PreferLatency && m.minimumReached()
 }
 
+// inFlight reports whether an attempt is in flight.
+func (m *Machine) inFlight() bool {
+	return slices.ContainsFunc(m.attempts, func(a attempt) bool { return !a.over })
+}
+
 // finish cancels what is in flight and emits the result.
 func (m *Machine) finish(now time.Time) {
-	f := &Finish{Answer: m.answer()}
+	f := &Finish{Answer: m.answer(), MayHaveRun: m.ran || m.inFlight()}
 	reached := f.Answer.Coverage
 	if reached.Cmp(m.minimum) < 0 {
 		f.Refusal = &Refusal{Cause: ErrBelowMinimum, Coverage: reached, Minimum: m.minimum}
--- a/query/plan.go
+++ b/query/plan.go
@@ -68,6 +68,10 @@
 	// be answered; nil stands for 0. Every group has the same weight.
 	MinimumCoverage *big.Rat
 	Prefer          Preference
+	// AtMostOnce forbids any attempt after one that may have run, and hedges.
+	AtMostOnce bool
+	// Home is the data centre whose replicas are preferred by LeastExpected.
+	Home string
 	// Tuning is replaced by DefaultTuning if it is the zero value.
 	Tuning Tuning
 }
@@ -95,6 +99,16 @@
 	// Held lists the snapshots that the replica is known to hold; nil means
 	// that nothing is known.
 	Held []uint64
+	// Cold replicas bear little load; LeastExpected takes them last.
+	Cold bool
+	// Lapsed replicas are no longer registered but may be back; LeastExpected takes
+	// them after those that are.
+	Lapsed bool
+	// Unconnected replicas need a new connection first.
+	Unconnected bool
+	// OutOfReach replicas are in a data centre that can't be reached at the moment;
+	// LeastExpected takes them last.
+	OutOfReach bool
 }
 
 // Selection is the rule for choosing between usable replicas.
@@ -106,6 +120,10 @@
 	TwoChoices Selection = "two_choices"
 	// Random takes any replica with equal probability.
 	Random Selection = "random"
+	// LeastExpected takes the replica whose reply is expected first, by its
+	// recent latency, failures, requests in flight and how long the oldest of
+	// them has been waited for.
+	LeastExpected Selection = "least_expected"
 	// RoundRobin takes the replicas of a service in turn.
 	RoundRobin Selection = "round_robin"
 )
@@ -116,6 +134,9 @@
 const (
 	// HedgeQuantile waits for a quantile of the service's recent latency.
 	HedgeQuantile Hedging = "quantile"
+	// HedgeGroup waits for a quantile of the group's recent latency, and no
+	// longer than leaves the hedge the time to reply before the latency goal.
+	HedgeGroup Hedging = "group"
 	// HedgeFixed waits for Tuning.HedgeDelay.
 	HedgeFixed Hedging = "fixed"
 	// HedgeOff never hedges.
@@ -141,7 +162,8 @@
 	// RetryInterval is the wait before a replica that failed is tried again
 	// and between two looks at an empty budget.
 	RetryInterval time.Duration
-	// MaxTries limits the attempts for one sub-request and snapshot.
+	// MaxTries limits the attempts for one sub-request and snapshot that may
+	// have run.
 	MaxTries int
 	// MaxRestarts limits how often a query moves to another snapshot.
 	MaxRestarts int
--- a/query/send.go
+++ b/query/send.go
@@ -42,18 +42,18 @@
 	at := now.Sub(m.start)
 	id := m.ids.take(m.plan.ID, len(m.attempts))
 	m.attempts = append(m.attempts, attempt{
-		id: id, task: i, service: t.service, replica: r, snapshot: m.snapshot, sentAt: at, first: t.tries == 0,
+		id: id, task: i, service: t.service, replica: r, snapshot: m.snapshot, sentAt: at, first: t.sends == 0,
 	})
 	t.live++
 	t.tries++
+	t.sends++
 	t.tried |= 1 << r
 	m.setState(t, inFlight)
 	m.setDue(t, never)
-	if !t.hedged && !hedge && m.plan.Tuning.Hedging != HedgeOff {
-		m.setDue(t, at+m.hedgeDelay(s))
+	if !t.hedged && !hedge && m.plan.Tuning.Hedging != HedgeOff && !m.plan.AtMostOnce {
+		m.setDue(t, m.hedgeAt(at, s))
 	}
-	rep.stats.inFlight++
-	rep.stats.used = now
+	rep.stats.begin(now)
 	s.stats.used = now
 	m.emit(Send{
 		Attempt: id, Group: m.groups[t.group].name, Service: s.name, Replica: rep.id, DataCentre: rep.dataCentre,
@@ -81,15 +81,48 @@
 func (m *Machine) hedgeDelay(s *service) time.Duration {
 	tuning := &m.plan.Tuning
 	if tuning.Hedging == HedgeQuantile {
-		for _, known := range [...]*serviceStats{s.stats, s.groupStats} {
-			if d, ok := known.quantile(tuning.HedgeQuantile); ok {
-				return d
-			}
+		if d, ok := s.stats.quantile(tuning.HedgeQuantile); ok {
+			return d
+		}
+	}
+	if tuning.Hedging == HedgeQuantile || tuning.Hedging == HedgeGroup {
+		if d, ok := s.groupStats.quantile(tuning.HedgeQuantile); ok {
+			return d
 		}
 	}
 	return tuning.HedgeDelay
 }
 
+// hedgeAt returns the time of the hedge of an attempt that is sent now.
+func (m *Machine) hedgeAt(at time.Duration, s *service) time.Duration {
+	due := at + m.hedgeDelay(s)
+	if m.plan.Tuning.Hedging != HedgeGroup || at >= m.goal {
+		return due
+	}
+	return min(due, max(m.lastHedge(s), at+time.Duration(s.groupStats.usual())))
+}
+
+// lastHedge returns the time up to which a hedge can be put off and still be
+// expected to reply before the latency goal.
+func (m *Machine) lastHedge(s *service) time.Duration {
+	if m.plan.Tuning.Hedging != HedgeGroup {
+		return 0
+	}
+	return m.goal - time.Duration(hedgeRoom*s.groupStats.usual())
+}
+
+// hedgeRoom is the number of mean latencies that a hedge needs to reply.
+const hedgeRoom = 2
+
+// lookInterval is the wait between looks at an allowance that keeps a reserve.
+const lookInterval = 10 * time.Millisecond
+
+// spent reports whether a task may not be sent again. The sends that surely did
+// not run are bounded too, so that upstreams which refuse everything end it.
+func (m *Machine) spent(t *task) bool {
+	return t.tries >= m.plan.Tuning.MaxTries || t.sends >= m.plan.Tuning.MaxTries+maxNotRun
+}
+
 // runTimers hedges and retries what is due.
 func (m *Machine) runTimers(now time.Time, at time.Duration) {
 	m.due = never
@@ -111,20 +144,49 @@
 func (m *Machine) hedge(now time.Time, i int) {
 	t := &m.tasks[i]
 	at := now.Sub(m.start)
-	r, ok := m.pick(now, t)
-	if !ok || t.tries >= m.plan.Tuning.MaxTries || at >= m.replyBy {
+	s := &m.services[t.service]
+	if m.spent(t) || at >= m.replyBy {
 		m.setDue(t, never)
 		return
 	}
-	if !m.budget.Take() {
+	// This comes before the choice, whose work a host that is slow can do without.
+	if m.hostSeemsSlow(s, at) {
 		m.setDue(t, at+m.plan.Tuning.RetryInterval)
 		return
 	}
+	r, ok := m.pick(now, t)
+	if !ok {
+		m.setDue(t, never)
+		return
+	}
+	last := m.lastHedge(s)
+	if !m.budget.Take(now, s.name, at >= last) {
+		m.unpaid(t)
+		m.setDue(t, max(at+m.plan.Tuning.RetryInterval, min(last, at+lookInterval)))
+		return
+	}
 	m.counts.Hedges++
 	t.hedged = true
 	m.send(now, i, r, true, false)
 }
 
+const (
+	// slowHostShare is the share of the sub-requests above which their silence shows
+	// that this host is slow rather than the replicas: hedges would add to its work.
+	slowHostShare = 0.25
+	// slowHostLeast is the number of sub-requests up to which that is no sign.
+	slowHostLeast = 4
+	// slowHostDelays is the number of hedge delays after which the replicas are taken
+	// to be silent all the same.
+	slowHostDelays = 2
+)
+
+// hostSeemsSlow reports whether so many sub-requests wait that a hedge is put off.
+func (m *Machine) hostSeemsSlow(s *service, at time.Duration) bool {
+	return m.plan.Tuning.Hedging == HedgeGroup && m.open > slowHostLeast &&
+		float64(m.open) > slowHostShare*float64(len(m.tasks)) && at < slowHostDelays*m.hedgeDelay(s)
+}
+
 // attemptFailed records a failure and decides how its task goes on.
 func (m *Machine) attemptFailed(now time.Time, a *attempt, f Failure) {
 	t := &m.tasks[a.task]
@@ -132,6 +194,12 @@
 	rep := &s.replicas[a.replica]
 	t.reason = f.Reason
 	t.after = f.RetryAfter
+	if f.Unsent || f.NotRun {
+		t.tries--
+	} else {
+		m.ran = true
+	}
+	rep.stats.failed(now, f)
 	switch f.Reason {
 	case ReasonSnapshot:
 		rep.held = append([]uint64{}, f.Held...)
@@ -142,6 +210,10 @@
 		return
 	}
 	m.setState(t, waiting)
+	if m.plan.AtMostOnce && !f.Unsent && !f.NotRun {
+		m.setState(t, failed)
+		return
+	}
 	if f.Unsent && m.redirect(now, a) {
 		return
 	}
@@ -157,8 +229,7 @@
 func (m *Machine) redirect(now time.Time, a *attempt) bool {
 	i, from := a.task, a.replica
 	t := &m.tasks[i]
-	spent := t.redirected || t.tries >= m.plan.Tuning.MaxTries
-	if spent || m.services[t.service].outdated || now.Sub(m.start) >= m.replyBy {
+	if t.redirected || m.spent(t) || m.services[t.service].outdated || now.Sub(m.start) >= m.replyBy {
 		return false
 	}
 	r, ok := m.pick(now, t)
@@ -186,9 +257,8 @@
 		m.divide(now, i)
 		return
 	}
-	tuning := &m.plan.Tuning
 	at := now.Sub(m.start)
-	if t.tries >= tuning.MaxTries || at >= m.replyBy {
+	if m.spent(t) || at >= m.replyBy {
 		m.setState(t, failed)
 		return
 	}
@@ -197,7 +267,8 @@
 		m.noReplicaLeft(t, at)
 		return
 	}
-	if !m.budget.Take() {
+	if !m.budget.Take(now, m.services[t.service].name, true) {
+		m.unpaid(t)
 		m.noBudget(t, at)
 		return
 	}
@@ -205,6 +276,14 @@
 	m.send(now, i, r, false, true)
 }
 
+// unpaid counts a task's first refusal by the allowance.
+func (m *Machine) unpaid(t *task) {
+	if !t.unpaid {
+		t.unpaid = true
+		m.counts.Unpaid++
+	}
+}
+
 // noBudget puts a retry off until the budget may have recovered. A request that
 // was shed is given up: shed requests without budget are a sign of overload, and
 // its query would only hold work that cannot become an answer.
@@ -227,7 +306,7 @@
 	switch t.reason {
 	case ReasonShed, ReasonBroken, ReasonTimedOut:
 		t.tried = 0
-		due := at + max(t.after, m.plan.Tuning.RetryInterval<<t.tries)
+		due := at + max(t.after, m.plan.Tuning.RetryInterval<<t.sends)
 		if due >= m.replyBy {
 			m.setState(t, failed)
 			return
@@ -273,6 +352,8 @@
 	case m.plan.Tuning.Selection == RoundRobin:
 		s.stats.turn++
 		return nthBit(set, s.stats.turn%n), true
+	case m.plan.Tuning.Selection == LeastExpected:
+		return m.leastExpected(now, s, set), true
 	case m.plan.Tuning.Selection == Random:
 		return nthBit(set, m.rng.IntN(n)), true
 	}
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -174,7 +174,7 @@
 			continue // divided into other tasks
 		}
 		m.setState(t, waiting)
-		t.tries, t.tried, t.hedged, t.redirected, t.due = 0, 0, false, false, never
+		t.tries, t.sends, t.tried, t.hedged, t.redirected, t.due = 0, 0, 0, false, false, never
 		if probe != nil && probe.Snapshot == m.snapshot {
 			m.mergeKept(i, *probe)
 		}
--- a/query/stats.go
+++ b/query/stats.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -26,9 +27,40 @@
 	quantileMinimum = 400
 	// meanWeight is the weight of a new sample in a replica's mean latency.
 	meanWeight = 0.1
+	// riseWeight is the weight of a sample above the mean, so that a replica that
+	// turns slow is left soon.
+	riseWeight = 0.25
+	// serviceMeanWeight is the weight of a new sample in the mean latency of a
+	// service or group, which gets many more samples than a replica.
+	serviceMeanWeight = 0.02
 	// meanAge is the time after which a replica's mean latency is forgotten,
 	// so that a replica avoided for its latency is tried again.
 	meanAge = 2 * time.Second
+	// failureWeight is the weight of a new outcome in a replica's failure rate.
+	failureWeight = 0.3
+	// failureHalfLife is the time after which a failure rate counts half.
+	failureHalfLife = 2 * time.Second
+	// failureCost is the number of usual latencies that a failure costs: the
+	// failed attempt, the detection and the retry.
+	failureCost = 6
+	// stallFactor is the number of usual latencies after which an unanswered
+	// request shows that its replica has stalled.
+	stallFactor = 2
+	// awayCost is the share by which a replica of another data centre has to be
+	// faster than one at home.
+	awayCost = 0.35
+	// coldCost is the number of usual latencies that a cold replica is taken to
+	// be slower by. It exceeds any other cost, so that cold replicas come last.
+	coldCost = 1000
+	// outOfReachCost puts replicas that can't be reached behind cold ones.
+	outOfReachCost = 10 * coldCost
+	// lapsedCost is the number of usual latencies that a replica without a
+	// registration is taken to be slower by.
+	lapsedCost = 20
+	// connectCost is the number of usual latencies that a new connection takes.
+	connectCost = 0.7
+	// startLatency stands in for the latency of a group of which none is known.
+	startLatency = 10 * time.Millisecond
 )
 
 // Stats holds recent latencies and requests in flight, as one event loop saw
@@ -115,6 +147,7 @@
 	sinceQuantile   int
 	cachedFor       float64
 	cached          time.Duration
+	mean            float64 // nanoseconds; 0 if unknown
 }
 
 func (s *serviceStats) observe(latency time.Duration) {
@@ -125,6 +158,19 @@
 	// The value is within the histogram's range, the only cause of an error.
 	_ = s.recent.RecordValue(max(value, 1))
 	s.sinceQuantile++
+	if s.mean == 0 {
+		s.mean = float64(latency)
+	} else {
+		s.mean += serviceMeanWeight * (float64(latency) - s.mean)
+	}
+}
+
+// usual returns the mean latency in nanoseconds.
+func (s *serviceStats) usual() float64 {
+	if s.mean == 0 {
+		return float64(startLatency)
+	}
+	return s.mean
 }
 
 func (s *serviceStats) rotate() {
@@ -174,13 +220,71 @@
 	inFlight int
 	mean     float64 // nanoseconds; 0 if unknown
 	meanAt   time.Time
+	oldest   []time.Time // send times of the requests in flight, in order
+	failures float64     // recent share of failed attempts at failedAt
+	failedAt time.Time
+}
+
+func (r *replicaStats) begin(now time.Time) {
+	r.inFlight++
+	r.used = now
+	r.oldest = append(r.oldest, now)
+}
+
+func (r *replicaStats) end(sentAt time.Time) {
+	r.inFlight--
+	for i, at := range r.oldest {
+		if at.Equal(sentAt) {
+			r.oldest = append(r.oldest[:i], r.oldest[i+1:]...)
+			return
+		}
+	}
+}
+
+// failed counts a failed attempt. Attempts that never left this host tell
+// nothing of the replica.
+func (r *replicaStats) failed(now time.Time, f Failure) {
+	if f.Unsent && f.Reason != ReasonBroken {
+		return
+	}
+	rate := r.failureRate(now)
+	r.failures = rate + failureWeight*(1-rate)
+	r.failedAt = now
+}
+
+// failureRate returns the recent share of failed attempts.
+func (r *replicaStats) failureRate(now time.Time) float64 {
+	if r.failures == 0 {
+		return 0
+	}
+	return r.failures * math.Exp2(-float64(now.Sub(r.failedAt))/float64(failureHalfLife))
+}
+
+// expected returns the expected time to a reply in nanoseconds, where usual is
+// the mean latency of the group.
+func (r *replicaStats) expected(now time.Time, usual float64) float64 {
+	mean := r.recent(now)
+	if mean == 0 {
+		mean = usual
+	}
+	cost := mean*(1+float64(r.inFlight)/2) + r.failureRate(now)*failureCost*usual
+	if len(r.oldest) > 0 {
+		if waited := float64(now.Sub(r.oldest[0])); waited > stallFactor*usual {
+			cost += waited
+		}
+	}
+	return cost
 }
 
 func (r *replicaStats) observe(now time.Time, latency time.Duration) {
 	if r.recent(now) == 0 {
 		r.mean = float64(latency)
 	} else {
-		r.mean += meanWeight * (float64(latency) - r.mean)
+		weight := meanWeight
+		if float64(latency) > r.mean {
+			weight = riseWeight
+		}
+		r.mean += weight * (float64(latency) - r.mean)
 	}
 	r.meanAt = now
 }
--- a/query/topology.go
+++ b/query/topology.go
@@ -133,7 +133,7 @@
 			unusable = ReasonOut
 		}
 		out.replicas[i] = replica{
-			id: r.ID, dataCentre: r.DataCentre, unusable: unusable, held: r.Held, stats: m.stats.replica(r.ID),
+			id: r.ID, dataCentre: r.DataCentre, unusable: unusable, cold: r.Cold, lapsed: r.Lapsed, unconnected: r.Unconnected, outOfReach: r.OutOfReach, held: r.Held, stats: m.stats.replica(r.ID),
 		}
 		for _, e := range m.excluded {
 			out.replicas[i].exclude(e)
@@ -234,7 +234,7 @@
 		j := len(m.tasks)
 		m.newTask(old.group, old.service, gap)
 		t := &m.tasks[j]
-		t.tries, t.tried, t.reason = old.tries, tried, old.reason
+		t.tries, t.sends, t.tried, t.reason = old.tries, old.sends, tried, old.reason
 		switch old.state {
 		case inFlight:
 			t.reason = ReasonMoved
@@ -256,7 +256,7 @@
 		m.divide(now, i)
 		return
 	}
-	if t.tries >= m.plan.Tuning.MaxTries || at >= m.replyBy {
+	if m.spent(t) || at >= m.replyBy {
 		m.setState(t, failed)
 		return
 	}
--- a/upstream/upstreamhttp/client.go
+++ b/upstream/upstreamhttp/client.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -54,6 +55,7 @@
 // Client implements upstream.Client over HTTP.
 type Client struct {
 	cfg        Config
+	dial       sendtrace.DialFunc
 	mismatches metrics.Counter
 
 	mu      sync.Mutex
@@ -76,6 +78,7 @@
 	}
 	return &Client{
 		cfg:        cfg,
+		dial:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		mismatches: metrics.GetOrRegisterCounter("upstream.mismatches", registry),
 		targets:    make(map[string]*target),
 	}
@@ -87,7 +90,7 @@
 	c.mu.Lock()
 	t, ok := c.targets[address]
 	if !ok {
-		c.targets[address] = newTarget(n)
+		c.targets[address] = newTarget(n, c.dial)
 	}
 	c.mu.Unlock()
 	if ok {
@@ -122,7 +125,7 @@
 	defer c.mu.Unlock()
 	t, ok := c.targets[address]
 	if !ok {
-		t = newTarget(c.cfg.Connections)
+		t = newTarget(c.cfg.Connections, c.dial)
 		c.targets[address] = t
 	}
 	return t
--- a/upstream/upstreamhttp/client_test.go
+++ b/upstream/upstreamhttp/client_test.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -125,29 +125,76 @@
 	}
 }
 
+// dials counts connections from the begin of the dial to Close. The server's own count
+// is of no use: it hears of the end of a replaced connection after it accepts the next.
+type dials struct {
+	mu         sync.Mutex
+	open, peak int
+	hold       chan struct{} // dials wait for its end if set
+	began      chan struct{}
+}
+
+func (d *dials) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	d.open++
+	d.peak = max(d.peak, d.open)
+	hold := d.hold
+	d.mu.Unlock()
+	select {
+	case d.began <- struct{}{}:
+	default:
+	}
+	if hold != nil {
+		<-hold
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		d.closed()
+		return nil, err
+	}
+	return &dialled{Conn: conn, closed: sync.OnceFunc(d.closed)}, nil
+}
+
+func (d *dials) closed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+}
+
+func (d *dials) setHold(hold chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hold = hold
+}
+
+func (d *dials) most() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peak
+}
+
+type dialled struct {
+	net.Conn
+	closed func()
+}
+
+func (c *dialled) Close() error {
+	err := c.Conn.Close()
+	c.closed()
+	return err
+}
+
 // Guards against more connections than the limit, also while the limit
 // changes, and against a request that waits for a connection for ever.
 func TestConnectionLimit(t *testing.T) {
-	var open, peak atomic.Int64
 	release := make(chan struct{})
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		answerWith(200, `{"attempt":"a1","service":"s1"}`)(w, r)
-	}))
-	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
-		switch s {
-		case http.StateNew:
-			n := open.Add(1)
-			for p := peak.Load(); n > p && !peak.CompareAndSwap(p, n); p = peak.Load() {
-			}
-		case http.StateClosed:
-			open.Add(-1)
-		}
-	}
-	server.Start()
-	defer server.Close()
-	address := strings.TrimPrefix(server.URL, "http://") + "/r1"
+	})
+	var d dials
 	c := New(Config{})
+	c.dial = d.dial
 	defer c.Close()
 	c.SetConnections(address, 2)
 	const requests = 12
@@ -162,7 +209,66 @@
 			t.Error(err)
 		}
 	}
-	if got := peak.Load(); got > 3 {
+	if got := d.most(); got > 3 {
 		t.Errorf("%d connections open at once, want at most 3", got)
 	}
 }
+
+// Guards against one connection more than the limit while a replaced transport still
+// has one: http.Transport goes on with a dial whose request was given another
+// connection meanwhile.
+func TestConnectionLimitWithUnusedDials(t *testing.T) {
+	got := make(chan chan struct{}, 1)
+	address, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		answer := make(chan struct{})
+		got <- answer
+		<-answer
+		answerWith(200, `{"attempt":"a1","service":"s1"}`)(w, r)
+	})
+	d := dials{began: make(chan struct{}, 2)}
+	c := New(Config{})
+	c.dial = d.dial
+	defer c.Close()
+	results := make(chan error, 8)
+	send := func() {
+		go func() { _, err := c.Do(t.Context(), address, request()); results <- err }()
+	}
+	done := func() {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	// The first connection stays with the transport of the first limit.
+	c.SetConnections(address, 2)
+	send()
+	first := <-got
+	c.SetConnections(address, 3)
+	send()
+	second := <-got
+	<-d.began
+	<-d.began
+	// The third request begins a dial and takes the second one's connection.
+	hold := make(chan struct{})
+	d.setHold(hold)
+	send()
+	<-d.began
+	close(second)
+	done()
+	third := <-got
+	// The fourth begins another.
+	send()
+	select {
+	case <-d.began:
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(hold)
+	close(third)
+	done()
+	close(<-got)
+	done()
+	close(first)
+	done()
+	if most := d.most(); most > 3 {
+		t.Errorf("%d connections open at once, want at most 3", most)
+	}
+}
