--- /dev/null
+++ b/reach/reach_test.go
@@ -0,0 +1,84 @@
+package reach_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/reach"
+)
+
+var (
+	config = reach.Config{Replicas: 3, Silence: 200 * time.Millisecond, Probe: 400 * time.Millisecond}
+	start  = time.Unix(1000, 0)
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func silent(n int) *reach.Tracker {
+	t := reach.New(config)
+	for i := range n {
+		t.Sent(at(0), "lahore-a", fmt.Sprint("r", i))
+	}
+	return t
+}
+
+// Guards against a data centre that is given up because single replicas pause.
+func TestFewSilentReplicasAreNoCut(t *testing.T) {
+	tr := silent(config.Replicas - 1)
+	if got := tr.Tick(at(5000)); len(got) != 0 || tr.Out("lahore-a") {
+		t.Errorf("changes are %v with %d silent replicas, want none", got, config.Replicas-1)
+	}
+}
+
+// Guards against callers that are kept waiting for replicas behind a cut.
+func TestSilenceOfManyReplicasIsACut(t *testing.T) {
+	tr := silent(config.Replicas)
+	if got := tr.Tick(at(150)); len(got) != 0 {
+		t.Errorf("changes are %v before the silence lasted, want none", got)
+	}
+	if got := tr.Tick(at(250)); len(got) != 1 || !tr.Out("lahore-a") || !tr.AnyOut() {
+		t.Errorf("changes are %v, want lahore-a out of reach", got)
+	}
+	if got := tr.Tick(at(300)); len(got) != 0 {
+		t.Errorf("the same change is reported again: %v", got)
+	}
+}
+
+// Guards against a data centre that stays out of reach after a cut has healed.
+func TestOneReplyEndsACut(t *testing.T) {
+	tr := silent(config.Replicas)
+	tr.Tick(at(250))
+	if c, back := tr.Heard(at(900), "lahore-a"); !back || !c.Reached || c.For != 900*time.Millisecond {
+		t.Errorf("change is %+v, %v", c, back)
+	}
+	if tr.Out("lahore-a") || tr.AnyOut() {
+		t.Error("lahore-a is still out of reach")
+	}
+	if _, back := tr.Heard(at(901), "lahore-a"); back {
+		t.Error("the return is reported twice")
+	}
+}
+
+// Guards against silence that is added up over replies in between.
+func TestReplyStartsTheSilenceAnew(t *testing.T) {
+	tr := silent(config.Replicas)
+	tr.Heard(at(100), "lahore-a")
+	if got := tr.Tick(at(400)); len(got) != 0 {
+		t.Errorf("changes are %v after a reply, want none", got)
+	}
+}
+
+// Guards against probes in a storm or none at all.
+func TestProbesComeAtTheirInterval(t *testing.T) {
+	tr := silent(config.Replicas)
+	if got := tr.Probes(at(100)); len(got) != 0 {
+		t.Errorf("probes of a data centre in reach: %v", got)
+	}
+	tr.Tick(at(250))
+	for _, step := range []struct{ ms, want int }{{250, 1}, {400, 0}, {650, 1}, {700, 0}} {
+		if got := tr.Probes(at(step.ms)); len(got) != step.want {
+			t.Errorf("at %d ms %d probes, want %d", step.ms, len(got), step.want)
+		}
+	}
+}
--- /dev/null
+++ b/records/records_test.go
@@ -0,0 +1,35 @@
+package records_test
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/marigoldlever/marigoldlever/records"
+)
+
+// Guards against records that are lost, counted once though equal, or cut from the
+// rest of a part.
+func TestGreatestMatchesASort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 80), 0, 6).Draw(t, "parts")
+		k := rapid.IntRange(0, 12).Draw(t, "k")
+		var all []string
+		for _, p := range parts {
+			for i := 0; i+records.Size <= len(p); i += records.Size {
+				all = append(all, string(p[i:i+records.Size]))
+			}
+		}
+		slices.Sort(all)
+		slices.Reverse(all)
+		var want bytes.Buffer
+		for _, r := range all[:min(k, len(all))] {
+			want.WriteString(r)
+		}
+		if got := records.Greatest(k, parts); !bytes.Equal(got, want.Bytes()) {
+			t.Fatalf("got %x, want %x", got, want.Bytes())
+		}
+	})
+}
