--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,372 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/internal/loopback"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
+	seeds     = flag.Int("soak.seeds", 1, "number of seeds")
+	length    = flag.Duration("soak.length", 8*time.Second, "time of faults for each seed")
+)
+
+const (
+	leastShare = 0.75 // of the parts of an answer
+	// maxAttempts is the number of replicas of a shard that may get a request.
+	maxAttempts = 2
+	drainTime   = 3 * time.Second
+	// grace is the time from SIGTERM to SIGKILL, as the platform has it.
+	grace = 6 * time.Second
+	// settleTime is how long after a fault its effects may last: the contact time.
+	settleTime = 4 * time.Second
+)
+
+// size is that of a tier and of what is behind it.
+type size struct{ hosts, strong, shards, replicas int }
+
+// sizes come by turns. In the larger tier one entry watches the store for the others, and
+// two do the requests over all shards for the others.
+var sizes = []size{{hosts: 3, shards: 4, replicas: 2}, {hosts: 8, strong: 2, shards: 24, replicas: 3}}
+
+// regressions are seeds that failed once, with the cause.
+var regressions = map[uint64]string{}
+
+// TestSoak guards the promises to callers and replicas against faults in series and
+// overlapping: whole and truthful answers, at most one run of a request that is not
+// idempotent, a true "not run", planned stops that cut off nothing, and no work for a
+// replica that has left.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "marigoldleverd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marigoldleverd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	list := make([]uint64, 0, *seeds+len(regressions))
+	for i := range *seeds {
+		list = append(list, *firstSeed+uint64(i))
+	}
+	for seed := range regressions {
+		list = append(list, seed)
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, binary, seed) })
+	}
+}
+
+// host is one entry process.
+type host struct {
+	name, caller, readiness string
+	settings                string
+	storeRelay              *relay
+	mu                      sync.Mutex
+	command                 *exec.Cmd
+	output                  bytes.Buffer
+	unplanned               time.Time // end of the last kill or pause
+}
+
+// fleet is the system under test with its surroundings.
+type fleet struct {
+	t        *testing.T
+	binary   string
+	size     size
+	store    *store
+	hosts    []*host
+	once     *runs
+	stop     chan struct{}
+	faultMu  sync.Mutex
+	storeBad time.Time // end of the last fault of the store
+
+	mu       sync.Mutex
+	replicas []*replica
+	refused  []string // ids of requests that were called not run
+	asked    []string // ids of requests that may run once
+	answered int
+}
+
+func runSeed(t *testing.T, binary string, seed uint64) {
+	f := &fleet{t: t, binary: binary, size: sizes[seed%uint64(len(sizes))], store: newStore(), once: &runs{count: map[string]int{}, spread: map[string][]string{}}, stop: make(chan struct{})}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	for i := range f.size.shards {
+		for j := range f.size.replicas {
+			f.addReplica(shardName(i), fmt.Sprintf("i-%d-%d", i, j))
+		}
+	}
+	f.configure(1)
+	for i := range f.size.hosts {
+		f.hosts = append(f.hosts, f.newHost(i, strings.TrimPrefix(server.URL, "http://")))
+	}
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	t.Cleanup(f.killAll)
+	for _, h := range f.hosts {
+		f.awaitReady(h)
+	}
+	var callers sync.WaitGroup
+	for i := range 6 {
+		callers.Go(func() { f.call(rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	f.faults(rand.New(rand.NewPCG(seed, 1000)))
+	close(f.stop)
+	callers.Wait()
+	f.check()
+}
+
+func shardName(i int) string { return fmt.Sprintf("shard-%02d", i) }
+
+// least returns the number of parts that an answer needs.
+func (f *fleet) least() int { return int(leastShare * float64(f.size.shards)) }
+
+func (f *fleet) addReplica(service, id string) {
+	r := startReplica(f.t, service, id, f.once)
+	f.mu.Lock()
+	f.replicas = append(f.replicas, r)
+	f.mu.Unlock()
+	f.store.put("servers", id, r.registration("ready"))
+}
+
+func (f *fleet) configure(version uint64) {
+	names := []string{}
+	services := []map[string]any{}
+	for i := range f.size.shards {
+		names = append(names, shardName(i))
+		services = append(services, map[string]any{"name": names[i], "max_connections": 30})
+	}
+	route := func(prefix, kind string) map[string]any {
+		return map[string]any{"name": prefix, "host": "h", "path_prefix": prefix, "route_kind": kind, "timeout_ms": 900, "target_latency_ms": 300, "max_attempts": maxAttempts}
+	}
+	scatter, once := route("/scatter/", "idempotent"), route("/once/", "non_idempotent")
+	scatter["fanout_services"], scatter["top_k"], scatter["min_shard_ratio"] = names, 2, leastShare
+	once["service"] = names[0]
+	f.store.put("config", "main", map[string]any{"version": version, "routes": []any{scatter, once}, "services": services,
+		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+}
+
+func (f *fleet) newHost(number int, storeAddress string) *host {
+	name, cores := fmt.Sprint("front-", number), 0.2
+	if number < f.size.strong {
+		cores = 0.8
+	}
+	h := &host{name: name, caller: freeAddress(f.t), readiness: freeAddress(f.t), storeRelay: startRelay(f.t, storeAddress)}
+	h.settings = filepath.Join(f.t.TempDir(), "boot.json")
+	internal := []int{port(f.t), port(f.t)}
+	slices.Sort(internal)
+	data, err := json.Marshal(map[string]any{
+		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": 200, "cpu_share": cores},
+		"listen":   map[string]string{"front": h.caller, "readiness": h.readiness},
+		"bounds":   map[string]any{"drain_ms": 3000, "contact_ms": 4000, "grace_s": 6, "config_apply_ms": 3000, "evacuation_ms": 5000, "retry_budget_ratio": 0.2, "retry_budget_slack": 50, "budget_window_s": 10, "cold_slack": 5},
+		"platform": map[string]string{"address": h.storeRelay.address()},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.WriteFile(h.settings, data, 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return h
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	addresses, err := loopback.Addresses(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addresses[0]
+}
+
+func port(t *testing.T) int {
+	t.Helper()
+	_, text, err := net.SplitHostPort(freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func (f *fleet) start(h *host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.command = exec.Command(f.binary, "-entry")
+	h.command.Env = append(os.Environ(), "MARIGOLDLEVER_BOOT="+h.settings)
+	h.command.Stdout, h.command.Stderr = &h.output, &h.output
+	if err := h.command.Start(); err != nil {
+		f.t.Error(err)
+	}
+}
+
+func (f *fleet) killAll() {
+	given := 0
+	defer func() {
+		if f.size.strong > 0 && given == 0 {
+			f.t.Error("no request was done by a stronger host")
+		}
+	}()
+	for _, h := range f.hosts {
+		// A process that has ended already is no failure.
+		_ = h.command.Process.Signal(syscall.SIGCONT)
+		_ = h.command.Process.Kill()
+		_ = h.command.Wait()
+		given += strings.Count(h.output.String(), ` by="front-`)
+		if f.t.Failed() {
+			text := h.output.String()
+			f.t.Logf("%s:\n%s", h.name, text[max(0, len(text)-4000):])
+		}
+	}
+}
+
+func (f *fleet) awaitReady(h *host) {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if response, err := http.Get("http://" + h.readiness + "/ready"); err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+	f.t.Errorf("%s is not ready", h.name)
+}
+
+// call sends requests until the end, on connections that are kept as long as they last.
+func (f *fleet) call(rng *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 1500 * time.Millisecond}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(time.Duration(rng.IntN(30)) * time.Millisecond):
+		}
+		f.ask(client, f.hosts[rng.IntN(len(f.hosts))], fmt.Sprintf("%016x", rng.Uint64()), rng.IntN(3) == 0)
+	}
+}
+
+func (f *fleet) ask(client *http.Client, h *host, id string, once bool) {
+	method, path := http.MethodGet, "/scatter/x"
+	if once {
+		method, path = http.MethodPost, "/once/x"
+		f.mu.Lock()
+		f.asked = append(f.asked, id)
+		f.mu.Unlock()
+	}
+	request, err := http.NewRequest(method, "http://"+h.caller+path, strings.NewReader(strings.Repeat("b", 10)))
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	request.GetBody = nil // net/http would send the request again on its own
+	request.Host = "h"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "1000")
+	began := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		f.lost(h, id, began, err)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		f.lost(h, id, began, err)
+		return
+	}
+	f.judge(id, once, response, string(body))
+}
+
+// lost judges a request without an answer: only a kill or a pause excuses it, or a
+// connection that was closed before the request was read.
+func (f *fleet) lost(h *host, id string, began time.Time, err error) {
+	text := err.Error()
+	crossed := strings.Contains(text, "refused") || strings.Contains(text, "server closed idle connection") || strings.Contains(text, "connection reset") || strings.Contains(text, "EOF") || strings.Contains(text, "broken pipe")
+	if !h.calmSince(began) || (crossed && f.once.of(id) == 0) {
+		return
+	}
+	f.t.Errorf("LOST: %s got no answer from %s after %v: %v", id, h.name, time.Since(began), err)
+}
+
+func (f *fleet) judge(id string, once bool, response *http.Response, body string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered++
+	switch {
+	case response.StatusCode == http.StatusServiceUnavailable:
+		f.refused = append(f.refused, id)
+	case response.StatusCode != http.StatusOK:
+	case once:
+		if stamp := response.Header.Get("X-Server-Stamp"); !strings.HasSuffix(stamp, "/"+id) || len(body) != 16 {
+			f.t.Errorf("MIXED: %s was answered with %q, signature %q", id, body, stamp)
+		}
+	default:
+		f.judgeParts(id, response, body)
+	}
+}
+
+func (f *fleet) judgeParts(id string, response *http.Response, body string) {
+	var services []string
+	for _, stamp := range strings.Split(response.Header.Get("X-Part-Stamps"), ",") {
+		parts := strings.Split(strings.TrimSpace(stamp), "/")
+		if len(parts) != 3 || parts[2] != id {
+			f.t.Errorf("MIXED: %s has the signature %q", id, stamp)
+			return
+		}
+		services = append(services, parts[0])
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(services)))
+	want := ""
+	for i, s := range services {
+		if i > 0 && s == services[i-1] {
+			f.t.Errorf("MIXED: %s has two parts of %s", id, s)
+		}
+		if i < 2 {
+			want += fmt.Sprintf("%-16s", s)
+		}
+	}
+	if missing := fmt.Sprint(f.size.shards - len(services)); len(services) < f.least() || response.Header.Get("X-Missing-Parts") != missing || body != want {
+		f.t.Errorf("MIXED: %s has %d parts, %s missing, body %q, want %q", id, len(services), response.Header.Get("X-Missing-Parts"), body, want)
+	}
+}
+
+// check judges what only shows at the end.
+func (f *fleet) check() {
+	time.Sleep(300 * time.Millisecond) // replicas may still work
+	for _, id := range f.asked {
+		if n := f.once.of(id); n > 1 {
+			f.t.Errorf("TWICE: %s ran %d times", id, n)
+		}
+	}
+	for _, id := range f.refused {
+		if n := f.once.of(id); n > 0 {
+			f.t.Errorf("REFUSED: %s was called not run and ran", id)
+		}
+	}
+	f.once.checkSpread(f.t)
+	const few = 50
+	if f.answered < few {
+		f.t.Errorf("%d answers in all, want %d at least", f.answered, few)
+	}
+}
--- /dev/null
+++ b/internal/soak/store_test.go
@@ -0,0 +1,213 @@
+// Package soak runs the real entries as processes against stand-ins of the platform's
+// store and replicas, and injects faults from outside them.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeMode is how the store answers.
+type storeMode int
+
+const (
+	storeWell storeMode = iota
+	storeBusy
+	storeSilent
+)
+
+type meta struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type object struct {
+	Meta meta `json:"meta"`
+	Spec any  `json:"spec"`
+}
+
+type event struct {
+	Object   object `json:"object"`
+	Removed  bool   `json:"removed"`
+	kind     string
+	revision uint64
+}
+
+// silence is how long a silent store keeps a call, which is longer than any caller
+// waits.
+const silence = 8 * time.Second
+
+// store is a stand-in of the platform's metadata store, as its protocol page says.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]map[string]object
+	history  []event
+	lost     uint64 // history up to this revision is gone
+	changed  chan struct{}
+	mode     storeMode
+}
+
+func newStore() *store {
+	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+}
+
+// put writes an object; a nil spec removes it.
+func (s *store) put(kind, name string, spec any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: spec}
+	if spec == nil {
+		delete(s.objects[kind], name)
+	} else {
+		s.objects[kind][name] = o
+	}
+	s.history = append(s.history, event{Object: o, Removed: spec == nil, kind: kind, revision: s.revision})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) setMode(m storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// compact drops the history.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost, s.history = s.revision, nil
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case storeBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case storeSilent:
+		// The server notices that the caller has gone only once the body is read.
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silence):
+		}
+		return
+	}
+	kind := strings.TrimPrefix(r.URL.Path, "/objects/")
+	switch {
+	case r.Method == http.MethodPost:
+		s.create(w, r, kind)
+	case r.Method == http.MethodPut:
+		s.replace(w, r, kind)
+	case r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	default:
+		s.list(w, r, kind)
+	}
+}
+
+func (s *store) create(w http.ResponseWriter, r *http.Request, kind string) {
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	_, exists := s.objects[kind][o.Meta.Name]
+	s.mu.Unlock()
+	if exists {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.put(kind, o.Meta.Name, o.Spec)
+	fmt.Fprint(w, "{}")
+}
+
+// replace changes an object; the path holds its kind and name.
+func (s *store) replace(w http.ResponseWriter, r *http.Request, path string) {
+	kind, name, _ := strings.Cut(path, "/")
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.put(kind, name, o.Spec)
+	fmt.Fprint(w, "{}")
+}
+
+// listPage is the number of items in an answer.
+const listPage = 3
+
+func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > r.URL.Query().Get("after") {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > listPage
+	items := []object{}
+	for _, name := range names[:min(listPage, len(names))] {
+		items = append(items, s.objects[kind][name])
+	}
+	answer(w, map[string]any{"items": items, "more": more, "current_rev": s.revision})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		changed, revision, lost := s.changed, s.revision, s.lost
+		events := []event{}
+		for _, e := range s.history {
+			if e.kind == kind && e.revision > from {
+				events = append(events, e)
+			}
+		}
+		s.mu.Unlock()
+		if from < lost {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			answer(w, map[string]any{"events": events, "current_rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, map[string]any{"events": events, "current_rev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone, which is one of the faults.
+	_ = json.NewEncoder(w).Encode(body)
+}
