daemon: join through the seeds under the lock of the membership machine

Cause: a host listens before it starts its membership machine, and a heartbeat of a host that started earlier arms the machine's timer. The timer's goroutine read the addresses to join through while start wrote them without the lock. The new test reported this race in each of three runs before the change and in none of 30 after it. Ruled out by reading: the facts and records in messages, which are copies.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -71,8 +71,10 @@
 }
 
 func (r *memberRunner) start() {
-	r.machine.Join(r.seeds)
-	r.step.Step(r.machine.Tick)
+	r.step.Step(func(now time.Time) []membership.Message {
+		r.machine.Join(r.seeds)
+		return r.machine.Tick(now)
+	})
 }
 
 func (r *memberRunner) send(_ time.Time, messages []membership.Message) {
--- a/internal/daemon/members_test.go
+++ b/internal/daemon/members_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -27,3 +28,24 @@
 		}
 	}
 }
+
+// Guards against a data race with the heartbeats of hosts that started earlier:
+// they arrive as soon as the host listens, before it joins through its seeds.
+func TestHeartbeatsMayArriveBeforeStart(t *testing.T) {
+	self := ownership.Member{ID: "self", Incarnation: "1"}
+	node := peer.NewNode(peer.Config{})
+	t.Cleanup(func() { _ = node.Close(context.Background()) })
+	r := newMemberRunner(t.Context(), time.Hour, self, "dc", []string{"127.0.0.1:1"}, node, 1)
+	r.changed = func(*memberView) {}
+	early := make(chan struct{})
+	go func() {
+		defer close(early)
+		// A heartbeat steps the machine, whose timer is then due at once.
+		r.step.Step(func(time.Time) []membership.Message { return nil })
+	}()
+	// Nothing orders the two in a daemon, so that no channel may do so here.
+	time.Sleep(10 * time.Millisecond)
+	r.start()
+	<-early
+	r.step.Stop()
+}
