daemon: start no watch after the stop

An event that is being handled while the daemon is killed could start a watch of the configuration after the daemon began to wait for the last one to end.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -46,6 +46,7 @@
 
 	watchMu   sync.Mutex
 	stopWatch context.CancelFunc // guarded by watchMu
+	stopped   bool               // guarded by watchMu
 }
 
 func newConfigurationRunner(ctx context.Context, wait *sync.WaitGroup, host string, store objectstore.Store, node *peer.Node) *configurationRunner {
@@ -154,7 +155,7 @@
 		r.stopWatch()
 		r.stopWatch = nil
 	}
-	if !w.On {
+	if !w.On || r.stopped {
 		return
 	}
 	ctx, stop := context.WithCancel(r.ctx)
@@ -166,6 +167,17 @@
 	}()
 }
 
+// stop ignores later events. An event that is being handled starts no watch after
+// stop has returned, so that nothing is added to the wait group while it is waited
+// for.
+func (r *configurationRunner) stop() {
+	r.follow.Stop()
+	r.edit.Stop()
+	r.watchMu.Lock()
+	defer r.watchMu.Unlock()
+	r.stopped = true
+}
+
 func (r *configurationRunner) watch(ctx context.Context, after uint64) {
 	klog.V(1).InfoS("Watching the configuration on the platform", "after", after)
 	for ctx.Err() == nil {
