entry: a host that is cut off from replicas that a route needs is unready

It counted as cut off only when no route could be answered, stayed ready for the whole cut of 5 s and refused 104 requests of the other route, which hosts of the other data centres could answer.

Now one route that lacks reach is enough. The new test failed before.

--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -37,3 +37,39 @@
 		}
 	}
 }
+
+// Guards against a host that is cut off and says that it is ready, because it can still
+// answer one of the routes: callers of the others are refused until the cut ends,
+// although hosts of other data centres can answer them. A route without replicas, as
+// before a repartition, is no reason either way.
+func TestHostThatCanNotAnswerSomeRouteIsCutOff(t *testing.T) {
+	e := New(Settings{}, nil, metrics.NewRegistry(), 1)
+	now := time.Unix(1000, 0)
+	shards := []string{"near", "far"}
+	for _, name := range shards {
+		e.view.registry.Put(now, replicas.Replica{ID: name, Service: name, DataCentre: name})
+	}
+	half := routing.Route{Name: "half", Host: "half", Prefix: "/", Shards: shards, MinimumShare: 0.5}
+	whole := routing.Route{Name: "whole", Host: "whole", Prefix: "/", Shards: shards, MinimumShare: 1}
+	later := routing.Route{Name: "later", Host: "later", Prefix: "/", Shards: []string{"later"}, MinimumShare: 1}
+	for i := range reachConfig.Replicas {
+		e.reach.sent(now, "far", fmt.Sprint("replica-", i))
+	}
+	for _, c := range []struct {
+		routes   []routing.Route
+		out, cut bool
+	}{
+		{[]routing.Route{half, whole, later}, false, false},
+		{[]routing.Route{half, later}, true, false},
+		{[]routing.Route{half, whole, later}, true, true},
+		{[]routing.Route{later}, true, false},
+	} {
+		if c.out {
+			e.reach.look(t.Context(), now.Add(reachConfig.Silence))
+		}
+		e.view.table.Store(routing.New(1, c.routes, nil, routing.Limits{}))
+		if got := e.cutOff(now); got != c.cut {
+			t.Errorf("%d routes, data centre out of reach: %t: cut off is %t, want %t", len(c.routes), c.out, got, c.cut)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
@@ -74,6 +72,7 @@
 	reach      *reachability
 	scatter    *scatter.Scatter
 	lifecycle  *lifecycle.Lifecycle
+	readiness  readiness
 	partitions partitions
 	metrics    *requestMetrics
 	requestLog requestLog
@@ -167,27 +166,3 @@
 	e.pool.Keep(e.view.expire(now))
 	e.scatter.Prune(now.Add(-statisticsAge))
 }
-
-// pages serves readiness and metrics.
-func (e *Entry) pages() http.Handler {
-	pages := echo.New()
-	pages.GET("/ready", func(c echo.Context) error {
-		ready, reason := e.lifecycle.Ready()
-		if ready && !e.view.complete() {
-			ready, reason = false, "the replicas are not known yet"
-		}
-		if ready && e.cutOff(time.Now()) {
-			ready, reason = false, "too few replicas are in reach"
-		}
-		if !ready {
-			return c.String(http.StatusServiceUnavailable, reason+"\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
-	pages.GET("/metrics", func(c echo.Context) error {
-		c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlainCharsetUTF8)
-		metrics.WriteOnce(e.metrics.registry, c.Response())
-		return nil
-	})
-	return pages
-}
