logging: write errors once, to standard output only

Cause: klog writes lines of severity ERROR to the standard error stream as well, synchronously. Each lost store call was logged twice, and a reader of that stream that stops would have blocked requests. Seen in the log of a host that was cut off.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -46,15 +45,12 @@
 		fmt.Printf("%s: no problems\n", path)
 		return exitOK
 	}
-	log := logging.NewWriter(os.Stdout)
-	defer log.Close()
-	klog.LogToStderr(false)
-	if err := flag.Set("one_output", "true"); err != nil { // else klog repeats errors for each severity
+	finish, err := logging.Redirect(os.Stdout)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	klog.SetOutput(log)
-	defer klog.Flush()
+	defer finish()
 	klog.InfoS("Started", "host", s.Host, "dataCentre", s.DataCentre, "callers", s.CallerAddress, "store", s.StoreAddress)
 	return runEntry(path, s)
 }
