entry: callers refused for lack of reach come back once the balancer noticed

Now Retry-After is what is left of the balancer's lag since the cut was noticed; callers wait as long as their time allows.

--- a/internal/entry/cutoff.go
+++ b/internal/entry/cutoff.go
@@ -57,3 +57,9 @@
 	}
 	return false
 }
+
+// cutOffRetry returns when a caller that was refused for lack of reach is to come back:
+// once the balancer has noticed and sends it to a host of another data centre.
+func cutOffRetry(route *routing.Route, out time.Duration) time.Duration {
+	return max(balancerLag-out, refusedAfter(route))
+}
--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -73,3 +73,19 @@
 		}
 	}
 }
+
+// Guards against callers that come back to the hosts of a data centre that is cut off
+// before the balancer can have noticed.
+func TestRefusedForLackOfReachComesBackAfterBalancerNoticed(t *testing.T) {
+	route := &routing.Route{Target: 100 * time.Millisecond}
+	for out, want := range map[time.Duration]time.Duration{
+		0:               balancerLag,
+		balancerLag / 2: balancerLag / 2,
+		balancerLag:     refusedAfter(route),
+		time.Minute:     refusedAfter(route),
+	} {
+		if got := cutOffRetry(route, out); got != want {
+			t.Errorf("%v after the cut: come back after %v, want %v", out, got, want)
+		}
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -108,7 +108,7 @@
 func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, wait, goal time.Duration) {
 	if !e.enoughInReach(out.started, route) {
 		w.Header().Set("Connection", "close")
-		e.refuse(w, out, http.StatusServiceUnavailable, refusedAfter(route), "too few replicas are in reach; the request has not run")
+		e.refuse(w, out, http.StatusServiceUnavailable, cutOffRetry(route, e.reach.outFor(out.started)), "too few replicas are in reach; the request has not run")
 		return
 	}
 	passed := time.Since(out.started)
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -63,6 +63,17 @@
 	return r.tracker.AnyOut()
 }
 
+// outFor returns how long a data centre has been out of reach.
+func (r *reachability) outFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, out := r.tracker.OutSince()
+	if !out {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // look looks for silent data centres and probes them.
 func (r *reachability) look(ctx context.Context, now time.Time) {
 	r.mu.Lock()
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -37,6 +37,7 @@
 	silent  map[string]struct{} // replicas without a reply since
 	since   time.Time           // of the first request without a reply
 	out     bool
+	outAt   time.Time
 	probeAt time.Time
 }
 
@@ -80,7 +81,7 @@
 			continue
 		}
 		c.out = true
-		c.probeAt = now
+		c.outAt, c.probeAt = now, now
 		changes = append(changes, Change{DataCentre: name, Silent: len(c.silent), For: now.Sub(c.since)})
 	}
 	return changes
@@ -94,12 +95,21 @@
 
 // AnyOut reports whether any data centre is out of reach.
 func (t *Tracker) AnyOut() bool {
+	_, out := t.OutSince()
+	return out
+}
+
+// OutSince returns when the first of the data centres that are out of reach went out,
+// and whether there is one.
+func (t *Tracker) OutSince() (time.Time, bool) {
+	var first time.Time
+	any := false
 	for _, c := range t.centres {
-		if c.out {
-			return true
+		if c.out && (!any || c.outAt.Before(first)) {
+			first, any = c.outAt, true
 		}
 	}
-	return false
+	return first, any
 }
 
 // Probes returns the data centres that are to be tried again now.
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -82,3 +82,24 @@
 		}
 	}
 }
+
+// Guards against a time of the cut that starts again with each data centre that goes
+// out of reach: callers would be told to come back too late.
+func TestCutIsAsOldAsItsFirstDataCentre(t *testing.T) {
+	tr := silent(config.Replicas)
+	if _, out := tr.OutSince(); out {
+		t.Error("a data centre is out of reach before the silence lasted")
+	}
+	tr.Tick(at(250))
+	for i := range config.Replicas {
+		tr.Sent(at(300), "peshawar-a", fmt.Sprint("p", i))
+	}
+	tr.Tick(at(600))
+	if since, out := tr.OutSince(); !out || !since.Equal(at(250)) {
+		t.Errorf("out since %v (%t), want %v", since, out, at(250))
+	}
+	tr.Heard(at(700), "lahore-a")
+	if since, out := tr.OutSince(); !out || !since.Equal(at(600)) {
+		t.Errorf("out since %v (%t) after the first is back, want %v", since, out, at(600))
+	}
+}
