entry: refuse a request when too few of its shards have room

Now such a request is refused with 503 and a time to come back before any part is sent. The new test failed before.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -111,6 +111,10 @@
 		e.refuse(w, out, http.StatusServiceUnavailable, cutOffRetry(route, e.reach.outFor(out.started)), "too few replicas are in reach; the request has not run")
 		return
 	}
+	if !e.enoughRoom(out.started, route) {
+		e.refuse(w, out, http.StatusServiceUnavailable, refusedAfter(route), "too few replicas have room; the request has not run")
+		return
+	}
 	passed := time.Since(out.started)
 	goal = e.answers.readyBy(goal, route.Name, len(route.Shards))
 	finish, err := e.run(r.Context(), out, route, request, wait-passed, goal-passed)
--- /dev/null
+++ b/internal/entry/room_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/follow"
+	"github.com/marigoldlever/marigoldlever/routing"
+	"github.com/marigoldlever/marigoldlever/watchers"
+)
+
+// Guards against requests over many shards that are begun although too few shards have
+// room: in an overload their parts take the room of others, and none has an answer.
+func TestRequestWithoutRoomIsRefusedBeforeAnyPartIsSent(t *testing.T) {
+	const shards, stuck = 4, 2 // three parts are the least
+	tr := newTier(t, shards)
+	release := make(chan struct{})
+	for _, s := range tr.shards[:stuck] {
+		s.reply = func(r *http.Request, body string) string {
+			<-release
+			return s.part(r, body)
+		}
+	}
+	narrow := tr.configuration.items[0].Value
+	var services []routing.Service
+	var names []string
+	for _, s := range tr.shards {
+		names = append(names, s.service)
+		services = append(services, routing.Service{Name: s.service, MaxConnections: 1})
+	}
+	route, _ := narrow.Find("h", "/scatter/")
+	tr.configuration = newList(follow.Item[*routing.Table]{Name: "main", Revision: 1,
+		Value: routing.New(1, []routing.Route{*route}, services, narrow.Limits)})
+	tr.run(t, watchers.Host{ID: "host", DataCentre: "dc"}, make(hosts, 1))
+	first := make(chan got, 1)
+	go func() {
+		g, err := tr.ask("GET", "/scatter/x", "")
+		if err != nil {
+			t.Error(err)
+		}
+		first <- g
+	}()
+	for deadline := time.Now().Add(5 * time.Second); tr.shards[shards-1].requests.Load() == 0 || tr.shards[0].requests.Load() == 0 || tr.shards[1].requests.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the first request did not reach its shards")
+		}
+	}
+	second := tr.mustAsk(t, "GET", "/scatter/x", "")
+	if second.status != http.StatusServiceUnavailable || second.header.Get("Retry-After") == "" {
+		t.Errorf("status is %d, Retry-After %q, want 503 with a time", second.status, second.header.Get("Retry-After"))
+	}
+	for i, s := range tr.shards {
+		if n := s.requests.Load(); n != 1 {
+			t.Errorf("%s got %d requests, want 1", names[i], n)
+		}
+	}
+	close(release)
+	if g := <-first; g.status != http.StatusOK {
+		t.Errorf("status of the first request is %d", g.status)
+	}
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -89,6 +89,22 @@
 	return n
 }
 
+// withRoom returns the number of services that have a replica which may get new work
+// and is not full.
+func (v *view) withRoom(now time.Time, names []string, full func(replicas.Incarnation) bool) int {
+	n := 0
+	var found []replicas.Candidate
+	for _, name := range names {
+		v.mu.Lock()
+		found = v.registry.Usable(now, name, found[:0])
+		v.mu.Unlock() // full may look at this view
+		if len(found) == 0 || slices.ContainsFunc(found, func(c replicas.Candidate) bool { return !full(c.Incarnation()) }) {
+			n++
+		}
+	}
+	return n
+}
+
 // anyIn returns the address of a replica that is registered in a data centre.
 func (v *view) anyIn(dataCentre string) (string, bool) {
 	v.mu.Lock()
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -106,6 +106,16 @@
 	return t != nil && len(t.idle) > 0
 }
 
+// Full reports whether all connections that this host may hold to a run of a replica
+// are in use by requests that somebody waits for.
+func (p *Pool) Full(run replicas.Incarnation) bool {
+	limit := p.limit(run) // before the lock, as in reserve
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.peers[run]
+	return t != nil && len(t.idle) == 0 && len(t.lingering) == 0 && t.open >= limit
+}
+
 // Probe opens a connection to an address and closes it.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
--- a/upstream/exchange/pool_test.go
+++ b/upstream/exchange/pool_test.go
@@ -198,6 +198,36 @@
 	}
 }
 
+// Guards against a replica that counts as full while a connection to it is idle, or as
+// having room while this host's share is in use.
+func TestFullWhileAllConnectionsAreInUse(t *testing.T) {
+	release := make(chan struct{})
+	rep := startReplica(t, func(_ int, r *http.Request) string { <-release; return answer(r, "body") })
+	pool := newPool(1)
+	call := rep.call("a", 5*time.Second)
+	if pool.Full(call.Run) {
+		t.Error("full before the first request")
+	}
+	first := make(chan error, 1)
+	go func() {
+		_, err := pool.Do(context.Background(), call)
+		first <- err
+	}()
+	for rep.accepted.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if !pool.Full(call.Run) {
+		t.Error("not full while the only connection is in use")
+	}
+	close(release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if pool.Full(call.Run) {
+		t.Error("full although the connection is idle")
+	}
+}
+
 // Guards against a cancelled request whose connection is closed although its reply
 // comes soon after: new connections are dear.
 func TestCancelledRequestKeepsItsConnection(t *testing.T) {
