entry: hosts check what stronger hosts can't reach

The answer to the question whether a stronger host is alive now names the data centres that it can't reach; the host that asked tries as many replicas there as have to be silent, and decides by its own check. The new tests did not build before.

--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -67,6 +67,12 @@
 	TookUS int64 `json:"took_us"`
 }
 
+// aliveReply answers the question whether a host is alive.
+type aliveReply struct {
+	// OutOfReach are the data centres that the host can't reach.
+	OutOfReach []string `json:"out_of_reach,omitempty"`
+}
+
 // offloader gives requests over many parts to stronger hosts, and takes those of weaker
 // ones.
 type offloader struct {
@@ -106,7 +112,9 @@
 	}
 	node.Handle(methodGather, e.offload.handle)
 	node.Handle(methodLeave, e.offload.leave)
-	node.Handle(methodAlive, func(context.Context, peer.Request) (any, error) { return struct{}{}, nil })
+	node.Handle(methodAlive, func(context.Context, peer.Request) (any, error) {
+		return aliveReply{OutOfReach: e.reach.outOfReach()}, nil
+	})
 }
 
 func (o *offloader) setHosts(hosts []watchers.Host) {
@@ -146,9 +154,11 @@
 	var group sync.WaitGroup
 	for _, h := range hosts {
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, aliveTime)
+			asked, cancel := context.WithTimeout(ctx, aliveTime)
 			defer cancel()
-			o.looked(h, o.node.Call(ctx, h.Address, methodAlive, struct{}{}, nil))
+			var reply aliveReply
+			o.looked(h, o.node.Call(asked, h.Address, methodAlive, struct{}{}, &reply))
+			o.entry.reach.doubt(ctx, reply.OutOfReach)
 		})
 	}
 	group.Wait()
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -80,7 +81,7 @@
 	changes, probes := r.tracker.Tick(now), r.tracker.Probes(now)
 	r.mu.Unlock()
 	for _, c := range changes {
-		klog.InfoS("Data centre out of reach", "dataCentre", c.DataCentre, "silentReplicas", c.Silent, "silentMS", c.For.Milliseconds())
+		logOutOfReach(c)
 	}
 	for _, p := range probes {
 		go r.probe(ctx, p)
@@ -101,3 +102,62 @@
 	}
 	r.heard(time.Now(), dataCentre)
 }
+
+// outOfReach returns the data centres that are out of reach.
+func (r *reachability) outOfReach() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.OutOfReach()
+}
+
+// doubt takes the data centres that another host of this one can't reach. A host that
+// sends little notices a cut late, and the balancer uses a data centre while one of its
+// hosts is ready.
+func (r *reachability) doubt(ctx context.Context, dataCentres []string) {
+	for _, name := range dataCentres {
+		now := time.Now()
+		r.mu.Lock()
+		due := r.tracker.Doubted(now, name)
+		r.mu.Unlock()
+		if due {
+			go r.check(ctx, now, name)
+		}
+	}
+}
+
+// check tries as many replicas of a data centre as have to be silent.
+func (r *reachability) check(ctx context.Context, began time.Time, dataCentre string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	var reached atomic.Bool
+	tried := 0
+	for range reachConfig.Replicas {
+		address, ok := r.pick(dataCentre)
+		if !ok {
+			return
+		}
+		tried++
+		group.Go(func() {
+			if err := r.dial(ctx, address); err == nil {
+				reached.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	now := time.Now()
+	if reached.Load() {
+		r.heard(now, dataCentre)
+		return
+	}
+	r.mu.Lock()
+	change, out := r.tracker.Checked(now, began, dataCentre, tried)
+	r.mu.Unlock()
+	if out {
+		logOutOfReach(change)
+	}
+}
+
+func logOutOfReach(c reach.Change) {
+	klog.InfoS("Data centre out of reach", "dataCentre", c.DataCentre, "silentReplicas", c.Silent, "silentMS", c.For.Milliseconds())
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -38,7 +38,8 @@
 	since   time.Time           // of the first request without a reply
 	out     bool
 	outAt   time.Time
-	probeAt time.Time
+	probeAt time.Time // of the next probe or check
+	heardAt time.Time
 }
 
 // New returns a tracker that takes all data centres to be in reach.
@@ -46,11 +47,7 @@
 
 // Sent tells that a request is on its way to a replica.
 func (t *Tracker) Sent(now time.Time, dataCentre, replica string) {
-	c := t.centres[dataCentre]
-	if c == nil {
-		c = &centre{silent: make(map[string]struct{})}
-		t.centres[dataCentre] = c
-	}
+	c := t.centre(dataCentre)
 	if len(c.silent) == 0 {
 		c.since = now
 	}
@@ -59,6 +56,15 @@
 	}
 }
 
+func (t *Tracker) centre(dataCentre string) *centre {
+	c := t.centres[dataCentre]
+	if c == nil {
+		c = &centre{silent: make(map[string]struct{})}
+		t.centres[dataCentre] = c
+	}
+	return c
+}
+
 // Heard tells that a replica of a data centre answered. It returns the change if
 // the data centre was out of reach.
 func (t *Tracker) Heard(now time.Time, dataCentre string) (Change, bool) {
@@ -69,10 +75,33 @@
 	was := c.out
 	change := Change{DataCentre: dataCentre, Reached: true, Silent: len(c.silent), For: now.Sub(c.since)}
 	clear(c.silent)
-	c.out = false
+	c.out, c.heardAt = false, now
 	return change, was
 }
 
+// Doubted tells that another host can't reach a data centre, and reports whether this
+// host should check now whether it can.
+func (t *Tracker) Doubted(now time.Time, dataCentre string) bool {
+	c := t.centre(dataCentre)
+	if c.out || now.Before(c.probeAt) {
+		return false
+	}
+	c.probeAt = now.Add(t.cfg.Probe)
+	return true
+}
+
+// Checked takes the outcome of a check that began at a time: none of the replicas that
+// were tried was reached. It returns the change unless one was heard meanwhile.
+func (t *Tracker) Checked(now, began time.Time, dataCentre string, tried int) (Change, bool) {
+	c := t.centre(dataCentre)
+	if c.out || tried < t.cfg.Replicas || !c.heardAt.Before(began) {
+		return Change{}, false
+	}
+	c.out, c.outAt = true, now
+	c.since = began
+	return Change{DataCentre: dataCentre, Silent: tried, For: now.Sub(began)}, true
+}
+
 // Tick looks for data centres that went out of reach.
 func (t *Tracker) Tick(now time.Time) []Change {
 	var changes []Change
@@ -112,6 +141,17 @@
 	return first, any
 }
 
+// OutOfReach returns the data centres that are out of reach.
+func (t *Tracker) OutOfReach() []string {
+	var names []string
+	for name, c := range t.centres {
+		if c.out {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Probes returns the data centres that are to be tried again now.
 func (t *Tracker) Probes(now time.Time) []string {
 	var due []string
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -103,3 +103,34 @@
 		t.Errorf("out since %v (%t) after the first is back, want %v", since, out, at(600))
 	}
 }
+
+// Guards against a data centre that is given up on another host's word: the host's own
+// check decides, unless a replica was heard since it began.
+func TestDoubtIsCheckedAndOwnReplyWins(t *testing.T) {
+	tr := reach.New(config)
+	if !tr.Doubted(at(0), "lahore-a") {
+		t.Error("the first doubt is not checked")
+	}
+	if tr.Doubted(at(100), "lahore-a") {
+		t.Error("checked again before the interval")
+	}
+	if _, out := tr.Checked(at(300), at(0), "lahore-a", config.Replicas-1); out {
+		t.Error("out of reach although too few replicas were tried")
+	}
+	tr.Heard(at(450), "lahore-a")
+	if !tr.Doubted(at(500), "lahore-a") {
+		t.Error("not checked after the interval")
+	}
+	if _, out := tr.Checked(at(800), at(440), "lahore-a", config.Replicas); out {
+		t.Error("out of reach although a replica was heard during the check")
+	}
+	if c, out := tr.Checked(at(800), at(500), "lahore-a", config.Replicas); !out || !tr.Out("lahore-a") || c.For != 300*time.Millisecond {
+		t.Errorf("change is %+v (%t), want lahore-a out of reach", c, out)
+	}
+	if got := tr.OutOfReach(); len(got) != 1 || got[0] != "lahore-a" {
+		t.Errorf("out of reach: %v", got)
+	}
+	if tr.Doubted(at(2000), "lahore-a") {
+		t.Error("checked while it is out of reach: probes do that")
+	}
+}
