--- a/reach/reach.go
+++ b/reach/reach.go
@@ -132,13 +132,13 @@
 // and whether there is one.
 func (t *Tracker) OutSince() (time.Time, bool) {
 	var first time.Time
-	any := false
+	found := false
 	for _, c := range t.centres {
-		if c.out && (!any || c.outAt.Before(first)) {
-			first, any = c.outAt, true
+		if c.out && (!found || c.outAt.Before(first)) {
+			first, found = c.outAt, true
 		}
 	}
-	return first, any
+	return first, found
 }
 
 // OutOfReach returns the data centres that are out of reach.
