query: earn extra sends from the host's start

Cause: the budget of a service began, empty, with the first request to that service.

Change: all budgets earn from the start of the host. A restarted host earns at the usual rate from its start, so the bound over any window stands. An unused budget is forgotten only when a new one would not exceed it; before, one minute was enough, whatever the rate.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,7 @@
 	e.reach = newReachability(e.pool.Probe, e.view.anyIn)
 	e.scatter = scatter.New(scatter.Config{
 		Loops:     1,
-		Allowance: func() query.Allowance { return query.NewServiceBudgets(e.budgetLimits) },
+		Allowance: func() query.Allowance { return query.NewServiceBudgets(time.Now(), e.budgetLimits) },
 		Seed:      seed,
 	})
 	e.lifecycle = lifecycle.New(drain.Config{BalancerLag: balancerLag, LongestDeadline: lateRequest, Grace: s.Bounds.Grace - stopMargin})
--- a/query/servicebudgets.go
+++ b/query/servicebudgets.go
@@ -52,10 +52,12 @@
 	idleBudget = time.Minute
 )
 
-// ServiceBudgets is an Allowance with a budget for each service. A budget starts
-// empty, so that a host that restarts does not spend its burst twice.
+// ServiceBudgets is an Allowance with a budget for each service. All budgets are empty
+// at the start of the host, so that one that restarts does not spend its burst twice,
+// and earn from then on, whether they are used or not.
 type ServiceBudgets struct {
 	limits   func(service string) BudgetLimits
+	start    time.Time
 	services map[string]*serviceBudget
 	pruned   time.Time
 }
@@ -65,9 +67,10 @@
 	at     time.Time
 }
 
-// NewServiceBudgets returns budgets whose limits are looked up with each use.
-func NewServiceBudgets(limits func(service string) BudgetLimits) *ServiceBudgets {
-	return &ServiceBudgets{limits: limits, services: map[string]*serviceBudget{}}
+// NewServiceBudgets returns the budgets of a host that starts at a time. Their limits
+// are looked up with each use.
+func NewServiceBudgets(start time.Time, limits func(service string) BudgetLimits) *ServiceBudgets {
+	return &ServiceBudgets{limits: limits, start: start, pruned: start, services: map[string]*serviceBudget{}}
 }
 
 // Earn implements Allowance.
@@ -97,23 +100,30 @@
 	s := b.services[name]
 	if s == nil {
 		b.prune(now)
-		s = &serviceBudget{at: now}
+		s = &serviceBudget{at: b.start}
 		b.services[name] = s
 	}
-	if passed := now.Sub(s.at).Seconds(); passed > 0 {
-		s.credit = min(max(limits.Burst, 1), s.credit+passed*limits.PerSecond)
-		s.at = now
+	if now.After(s.at) {
+		s.credit, s.at = s.earned(now, limits), now
 	}
 	return s
 }
 
+// earned returns the credit of a budget at a time after its last use.
+func (s *serviceBudget) earned(now time.Time, limits BudgetLimits) float64 {
+	return min(max(limits.Burst, 1), s.credit+now.Sub(s.at).Seconds()*limits.PerSecond)
+}
+
+// prune forgets the budgets without use that a new one would not exceed.
 func (b *ServiceBudgets) prune(now time.Time) {
 	if now.Sub(b.pruned) < idleBudget {
 		return
 	}
 	b.pruned = now
+	unused := serviceBudget{at: b.start}
 	for name, s := range b.services {
-		if now.Sub(s.at) > idleBudget {
+		limits := b.limits(name)
+		if now.Sub(s.at) > idleBudget && s.earned(now, limits) >= unused.earned(now, limits) {
 			delete(b.services, name)
 		}
 	}
--- a/query/servicebudgets_test.go
+++ b/query/servicebudgets_test.go
@@ -20,14 +20,15 @@
 		hosts := rapid.IntRange(1, 8).Draw(t, "hosts")
 		slack := float64(rapid.IntRange(2*hosts, 60).Draw(t, "slack"))
 		idle := rapid.IntRange(0, hosts).Draw(t, "idle")
+		now := time.Unix(1000, 0)
+		start := now.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "uptime")) * time.Second)
 		budgets := make([]*query.ServiceBudgets, hosts)
 		for i := range budgets {
-			budgets[i] = query.NewServiceBudgets(func(string) query.BudgetLimits {
+			budgets[i] = query.NewServiceBudgets(start, func(string) query.BudgetLimits {
 				return query.HostLimits(ratio, slack, window, hosts, idle, i < idle)
 			})
 		}
 		var first, extra []time.Time
-		now := time.Unix(1000, 0)
 		for range 500 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 180).Draw(t, "gap")) * time.Millisecond)
 			b := budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
@@ -56,11 +57,63 @@
 	})
 }
 
+// Guards against a host whose first requests to a service have no extra send although
+// the host has run for long: a budget that starts with its first use.
+func TestBudgetsEarnFromTheStart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	b := query.NewServiceBudgets(start, func(string) query.BudgetLimits {
+		return query.BudgetLimits{Burst: 3, PerSecond: 0.5}
+	})
+	take := func(at time.Duration, service string) (n int) {
+		for b.Take(start.Add(at), service, true) {
+			n++
+		}
+		return n
+	}
+	for _, c := range []struct {
+		at      time.Duration
+		service string
+		want    int
+	}{
+		{0, "s", 0},                   // a restart does not fill a budget
+		{2 * time.Second, "t", 1},     // earned before the first use
+		{2 * time.Second, "s", 1},     // earned since the first use
+		{10 * time.Second, "u", 3},    // no more than the burst
+		{12 * time.Second, "u", 1},    // what was spent is not earned again
+		{2 * time.Minute, "other", 3}, // forgets s and t, which are full by now
+		{2 * time.Minute, "s", 3},
+	} {
+		if n := take(c.at, c.service); n != c.want {
+			t.Errorf("%s paid for %d sends after %v, want %d", c.service, n, c.at, c.want)
+		}
+	}
+}
+
+// Guards against a budget that is forgotten before it has earned what a new one has, so
+// that its burst is spent twice.
+func TestSpentBudgetIsNotRefilledWhenUnused(t *testing.T) {
+	start := time.Unix(1000, 0)
+	b := query.NewServiceBudgets(start, func(string) query.BudgetLimits {
+		return query.BudgetLimits{Burst: 3, PerSecond: 0.01}
+	})
+	now := start.Add(10 * time.Minute)
+	for range 3 {
+		if !b.Take(now, "s", true) {
+			t.Fatal("a full budget did not pay")
+		}
+	}
+	now = now.Add(2 * time.Minute) // earns 1.2
+	b.Take(now, "other", true)
+	if !b.Take(now, "s", true) || b.Take(now, "s", true) {
+		t.Error("two minutes without use did not pay for one send, or paid for more")
+	}
+}
+
 // Guards against a reserve that a small burst can never exceed, so that no early
 // hedge is ever sent: many hosts share one bound.
 func TestSmallBurstPaysForEarlyHedges(t *testing.T) {
 	limits := query.BudgetLimits{Ratio: 1, Burst: 1.4}
-	b := query.NewServiceBudgets(func(string) query.BudgetLimits { return limits })
+	b := query.NewServiceBudgets(time.Unix(1000, 0), func(string) query.BudgetLimits { return limits })
 	now := time.Unix(1000, 0)
 	b.Earn(now, "s", 5)
 	if !b.Take(now, "s", false) {
@@ -71,7 +124,7 @@
 // Guards against early hedges that leave nothing for a request that fails.
 func TestUrgentSendsHaveAReserve(t *testing.T) {
 	limits := query.BudgetLimits{Ratio: 1, Burst: 5}
-	b := query.NewServiceBudgets(func(string) query.BudgetLimits { return limits })
+	b := query.NewServiceBudgets(time.Unix(1000, 0), func(string) query.BudgetLimits { return limits })
 	now := time.Unix(1000, 0)
 	b.Earn(now, "s", 5)
 	early := 0
