entry: look at a request's replicas once

Cause: enoughInReach, enoughRoom and plan each listed the usable replicas of every shard, with a lock of the tracker and one or two of the pool per replica; the first two counted replicas in data centres that the route's regions exclude.

Change: prospect lists them once, counts what is known, in reach and with room, and hands the same list to the query. Pool.Room answers Connected and Full under one lock. A request to a weighted split is judged by the service that was drawn for it. Only replicas that the route allows count as in reach.

--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -32,8 +32,8 @@
 			e.reach.sent(now, "far", fmt.Sprint("replica-", i))
 		}
 		e.reach.look(t.Context(), now.Add(reachConfig.Silence))
-		if got := e.enoughInReach(now, route); got != want {
-			t.Errorf("%d of %d parts in reach: enough is %t, want %t", inReach, shards, got, want)
+		if p := e.prospect(now, route, route.Shards); p.enoughInReach() != want {
+			t.Errorf("%d of %d parts in reach: enough is %t, want %t", inReach, shards, !want, want)
 		}
 	}
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -106,18 +106,19 @@
 
 // dispatch sends a request on and answers it. Both times are from the request's start.
 func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, wait, goal time.Duration) {
-	if !e.enoughInReach(out.started, route) {
+	found := e.prospect(time.Now(), route, servicesOf(route))
+	if !found.enoughInReach() {
 		w.Header().Set("Connection", "close")
 		e.refuse(w, out, http.StatusServiceUnavailable, cutOffRetry(route, e.reach.outFor(out.started)), "too few replicas are in reach; the request has not run")
 		return
 	}
-	if !e.enoughRoom(out.started, route) {
+	if !found.enoughRoom(route) {
 		e.refuse(w, out, http.StatusServiceUnavailable, refusedAfter(route), "too few replicas have room; the request has not run")
 		return
 	}
 	passed := time.Since(out.started)
 	goal = e.answers.readyBy(goal, route.Name, len(route.Shards))
-	finish, err := e.run(r.Context(), out, route, request, wait-passed, goal-passed)
+	finish, err := e.run(r.Context(), out, route, request, found.services, wait-passed, goal-passed)
 	if err != nil {
 		e.reportLeft(out)
 		return
@@ -137,9 +138,10 @@
 	}
 }
 
-// run sends a request to the replicas until it has an answer. Both times are from now.
-func (e *Entry) run(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, wait, goal time.Duration) (query.Finish, error) {
-	plan := e.plan(time.Now(), request.ID, route, wait)
+// run sends a request to replicas of the services until it has an answer. Both times are
+// from now.
+func (e *Entry) run(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, services []query.Service, wait, goal time.Duration) (query.Finish, error) {
+	plan := e.plan(request.ID, route, services, wait)
 	plan.LatencyGoal = goal + plan.Tuning.FinishMargin
 	out.sender = newSender(e, request, plan.AtMostOnce, len(route.Shards))
 	finish, err := e.scatter.Run(ctx, out.sender, plan, nil)
--- a/internal/entry/offload_take.go
+++ b/internal/entry/offload_take.go
@@ -54,7 +54,11 @@
 	}
 	request := exchange.Request{ID: c.ID, Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body}
 	route, ok := find(table, &request)
-	if !ok || len(route.Shards) == 0 || !e.enoughInReach(started, route) {
+	if !ok || len(route.Shards) == 0 {
+		return gatherReply{Refused: "the request is not for several shards"}, nil
+	}
+	found := e.prospect(started, route, route.Shards)
+	if !found.enoughInReach() {
 		return gatherReply{Refused: "too few replicas are in reach"}, nil
 	}
 	select {
@@ -74,7 +78,7 @@
 	wait := time.Duration(c.WaitUS) * time.Microsecond
 	goal := time.Duration(c.GoalUS) * time.Microsecond
 	goal = e.answers.readyBy(goal, route.Name, len(route.Shards))
-	finish, err := e.run(ctx, &out, route, &request, wait, goal)
+	finish, err := e.run(ctx, &out, route, &request, found.services, wait, goal)
 	if err != nil {
 		e.reportLeft(&out)
 		return nil, err
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -40,13 +40,17 @@
 	refusedRetry = 0.2
 )
 
-// plan describes a request as a query over the shards of its route, or over the
+// servicesOf returns the services that a request of a route is for: all shards, or the
 // one service that is to run it.
-func (e *Entry) plan(now time.Time, id string, route *routing.Route, wait time.Duration) query.Plan {
-	names := route.Shards
-	if len(names) == 0 {
-		names = []string{route.Pick(rand.Float64())}
+func servicesOf(route *routing.Route) []string {
+	if len(route.Shards) > 0 {
+		return route.Shards
 	}
+	return []string{route.Pick(rand.Float64())}
+}
+
+// plan describes a request as a query over its services.
+func (e *Entry) plan(id string, route *routing.Route, services []query.Service, wait time.Duration) query.Plan {
 	finishMargin := min(max(time.Duration(finishShare*float64(wait)), finishLeast), finishMost)
 	target := route.Target
 	if target <= 0 {
@@ -56,10 +60,10 @@
 		ID: id, Contract: route.Name,
 		Groups: []query.Group{{
 			Name:     route.Name,
-			Services: e.view.services(now, names, e.partitions.of(len(names)), e.allowedIn(route), e.reach.out, e.pool.Connected),
+			Services: services,
 		}},
 		AnswerTime:      wait,
-		MinimumCoverage: minimumCoverage(route.MinimumShare, len(names)),
+		MinimumCoverage: minimumCoverage(route.MinimumShare, len(services)),
 		Prefer:          query.PreferCoverage,
 		AtMostOnce:      !route.Idempotent,
 		Home:            e.settings.DataCentre,
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,59 +49,30 @@
 	return v.table.Load() != nil && v.listed && v.outKnown
 }
 
-// services returns the plan's services with their usable replicas. The hash space
-// is divided among the names, so that coverage counts them alike.
-func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed, out func(dataCentre string) bool, connected func(replicas.Incarnation) bool) []query.Service {
+// services returns the plan's services with the replicas that may get new work in an
+// allowed data centre. The hash space is divided among the names, so that coverage
+// counts them alike.
+func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed func(dataCentre string) bool) ([]query.Service, []replicas.Incarnation) {
 	found := make([]query.Service, len(names))
 	copy(found, partitions)
+	room := make([]query.Replica, 0, 2*len(names))
+	runs := make([]replicas.Incarnation, 0, 2*len(names))
+	var usable []replicas.Candidate
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var usable []replicas.Candidate
-	room := make([]query.Replica, 0, 2*len(names))
 	for i, name := range names {
 		found[i].Name = name
 		usable = v.registry.Usable(now, name, usable[:0])
 		from := len(room)
 		for _, c := range usable {
 			if allowed(c.DataCentre) {
-				room = append(room, query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed, OutOfReach: out(c.DataCentre), Unconnected: !connected(c.Incarnation())})
+				room = append(room, query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed})
+				runs = append(runs, c.Incarnation())
 			}
 		}
 		found[i].Replicas = room[from:len(room):len(room)]
 	}
-	return found
-}
-
-// inReach returns the number of services that have a replica which may get new
-// work and whose data centre is not out of reach.
-func (v *view) inReach(now time.Time, names []string, out func(dataCentre string) bool) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0
-	var found []replicas.Candidate
-	for _, name := range names {
-		found = v.registry.Usable(now, name, found[:0])
-		if slices.ContainsFunc(found, func(c replicas.Candidate) bool { return !out(c.DataCentre) }) {
-			n++
-		}
-	}
-	return n
-}
-
-// withRoom returns the number of services that have a replica which may get new work
-// and is not full.
-func (v *view) withRoom(now time.Time, names []string, full func(replicas.Incarnation) bool) int {
-	n := 0
-	var found []replicas.Candidate
-	for _, name := range names {
-		v.mu.Lock()
-		found = v.registry.Usable(now, name, found[:0])
-		v.mu.Unlock() // full may look at this view
-		if len(found) == 0 || slices.ContainsFunc(found, func(c replicas.Candidate) bool { return !full(c.Incarnation()) }) {
-			n++
-		}
-	}
-	return n
+	return found, runs
 }
 
 // anyIn returns the address of a replica that is registered in a data centre.
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -98,22 +98,31 @@
 	return reply, err
 }
 
-// Connected reports whether an idle connection to a run of a replica is open.
-func (p *Pool) Connected(run replicas.Incarnation) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t := p.peers[run]
-	return t != nil && len(t.idle) > 0
+// Room is what a new request to a run of a replica finds.
+type Room struct {
+	// Idle connections are open.
+	Idle bool
+	// Full means that all connections that this host may hold are in use by requests
+	// that somebody waits for.
+	Full bool
 }
 
-// Full reports whether all connections that this host may hold to a run of a replica
-// are in use by requests that somebody waits for.
-func (p *Pool) Full(run replicas.Incarnation) bool {
-	limit := p.limit(run) // before the lock, as in reserve
+// Room returns what a new request to a run of a replica would find now.
+func (p *Pool) Room(run replicas.Incarnation) Room {
+	idle, inUse := p.use(run)
+	return Room{Idle: idle, Full: inUse > 0 && inUse >= p.limit(run)}
+}
+
+// use reports whether a connection is idle and, if none can be had without opening one,
+// the number of those that are open. limit is not called under the lock, as in reserve.
+func (p *Pool) use(run replicas.Incarnation) (idle bool, inUse int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.peers[run]
-	return t != nil && len(t.idle) == 0 && len(t.lingering) == 0 && t.open >= limit
+	if t == nil || len(t.idle) > 0 || len(t.lingering) > 0 {
+		return t != nil && len(t.idle) > 0, 0
+	}
+	return false, t.open
 }
 
 // Probe opens a connection to an address and closes it.
--- a/upstream/exchange/pool_test.go
+++ b/upstream/exchange/pool_test.go
@@ -205,7 +205,7 @@
 	rep := startReplica(t, func(_ int, r *http.Request) string { <-release; return answer(r, "body") })
 	pool := newPool(1)
 	call := rep.call("a", 5*time.Second)
-	if pool.Full(call.Run) {
+	if pool.Room(call.Run).Full {
 		t.Error("full before the first request")
 	}
 	first := make(chan error, 1)
@@ -216,14 +216,14 @@
 	for rep.accepted.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if !pool.Full(call.Run) {
+	if !pool.Room(call.Run).Full {
 		t.Error("not full while the only connection is in use")
 	}
 	close(release)
 	if err := <-first; err != nil {
 		t.Error(err)
 	}
-	if pool.Full(call.Run) {
+	if pool.Room(call.Run).Full {
 		t.Error("full although the connection is idle")
 	}
 }
