entry: check a doubted data centre with different replicas

A probe repeated the same dial and report with one replica.

Change: replicas.SomeIn draws up to n different ones, and probe and check share one try. A data centre with fewer replicas than have to be silent is never put out of reach by a check, as is already so for silence. Tracker.Out and AnyOut are gone: OutOfReach and OutSince tell the same.

Measured: the test of this case in the form of the old code (one replica registered, none reached) failed before; TestCheckTriesDifferentReplicas passes with -race.

--- a/internal/entry/cutoff.go
+++ b/internal/entry/cutoff.go
@@ -11,7 +11,7 @@
 // to other hosts, which can answer more.
 func (e *Entry) cutOff(now time.Time) bool {
 	table := e.view.table.Load()
-	if table == nil || !e.reach.anyOut() {
+	if table == nil || len(e.reach.outOfReach()) == 0 {
 		return false
 	}
 	for route := range table.All() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,7 +89,7 @@
 	e := &Entry{settings: s, callers: codec, view: newView(), shares: newShares(), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
-	e.reach = newReachability(e.pool.Probe, e.view.anyIn)
+	e.reach = newReachability(e.pool.Probe, e.view.someIn)
 	e.scatter = scatter.New(scatter.Config{
 		Loops:     1,
 		Allowance: func() query.Allowance { return query.NewServiceBudgets(time.Now(), e.budgetLimits) },
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -25,14 +24,14 @@
 // reachability shares a reach.Tracker among the requests of this host.
 type reachability struct {
 	dial func(ctx context.Context, address string) error
-	// pick returns the address of a replica that is registered in a data centre.
-	pick func(dataCentre string) (address string, ok bool)
+	// pick returns addresses of up to n replicas that are registered in a data centre.
+	pick func(dataCentre string, n int) []string
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
 }
 
-func newReachability(dial func(ctx context.Context, address string) error, pick func(string) (string, bool)) *reachability {
+func newReachability(dial func(ctx context.Context, address string) error, pick func(string, int) []string) *reachability {
 	return &reachability{dial: dial, pick: pick, tracker: reach.New(reachConfig)}
 }
 
@@ -51,19 +50,6 @@
 	}
 }
 
-func (r *reachability) out(dataCentre string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tracker.Out(dataCentre)
-}
-
-// anyOut reports whether any data centre is out of reach.
-func (r *reachability) anyOut() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tracker.AnyOut()
-}
-
 // outFor returns how long a data centre has been out of reach.
 func (r *reachability) outFor(now time.Time) time.Duration {
 	r.mu.Lock()
@@ -90,19 +76,35 @@
 
 // probe tries any registered replica: those that were silent may be gone.
 func (r *reachability) probe(ctx context.Context, dataCentre string) {
-	address, ok := r.pick(dataCentre)
-	if !ok {
+	tried, err := r.try(ctx, dataCentre, 1)
+	if tried == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if err := r.dial(ctx, address); err != nil {
+	if err != nil {
 		klog.V(1).InfoS("Data centre still out of reach", "dataCentre", dataCentre, "err", err)
 		return
 	}
 	r.heard(time.Now(), dataCentre)
 }
 
+// try opens connections to up to n replicas of a data centre. It returns their number
+// and, if none was reached, an error.
+func (r *reachability) try(ctx context.Context, dataCentre string, n int) (tried int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	addresses := r.pick(dataCentre, n)
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- r.dial(ctx, address) }()
+	}
+	for range addresses {
+		if err = <-results; err == nil {
+			break
+		}
+	}
+	return len(addresses), err
+}
+
 // outOfReach returns the data centres that are out of reach.
 func (r *reachability) outOfReach() []string {
 	r.mu.Lock()
@@ -127,26 +129,9 @@
 
 // check tries as many replicas of a data centre as have to be silent.
 func (r *reachability) check(ctx context.Context, began time.Time, dataCentre string) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var group sync.WaitGroup
-	var reached atomic.Bool
-	tried := 0
-	for range reachConfig.Replicas {
-		address, ok := r.pick(dataCentre)
-		if !ok {
-			return
-		}
-		tried++
-		group.Go(func() {
-			if err := r.dial(ctx, address); err == nil {
-				reached.Store(true)
-			}
-		})
-	}
-	group.Wait()
+	tried, err := r.try(ctx, dataCentre, reachConfig.Replicas)
 	now := time.Now()
-	if reached.Load() {
+	if err == nil && tried > 0 {
 		r.heard(now, dataCentre)
 		return
 	}
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/marigoldlever/marigoldlever/replicas"
 )
 
 // Guards against a host that sends little and stays ready in a data centre that is cut
@@ -19,17 +25,47 @@
 			}
 			return nil
 		}
-		r := newReachability(dial, func(string) (string, bool) { return "address", true })
+		r := newReachability(dial, func(_ string, n int) []string { return make([]string, n) })
 		r.doubt(t.Context(), []string{"far"})
 		deadline := time.Now().Add(5 * time.Second)
-		for cut && !r.out("far") && time.Now().Before(deadline) {
+		for cut && !slices.Contains(r.outOfReach(), "far") && time.Now().Before(deadline) {
 			time.Sleep(time.Millisecond)
 		}
 		if !cut {
 			r.check(t.Context(), time.Now(), "far")
 		}
-		if got := r.out("far"); got != cut {
+		if got := slices.Contains(r.outOfReach(), "far"); got != cut {
 			t.Errorf("cut: %t, out of reach: %t", cut, got)
 		}
 	}
 }
+
+// Guards against a data centre that counts as out of reach because one of its replicas
+// is gone and was tried several times.
+func TestCheckTriesDifferentReplicas(t *testing.T) {
+	var mu sync.Mutex
+	tried := map[string]int{}
+	dial := func(_ context.Context, address string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		tried[address]++
+		return errors.New("no route")
+	}
+	for _, known := range []int{1, reachConfig.Replicas} {
+		e := New(Settings{}, nil, metrics.NewRegistry(), 1)
+		now := time.Unix(1000, 0)
+		for i := range known {
+			e.view.registry.Put(now, replicas.Replica{ID: fmt.Sprint("replica-", i), Address: fmt.Sprint("address-", i), DataCentre: "far"})
+		}
+		r := newReachability(dial, e.view.someIn)
+		r.check(t.Context(), now, "far")
+		if out, want := len(r.outOfReach()) > 0, known == reachConfig.Replicas; out != want {
+			t.Errorf("%d replicas known, none reached: out of reach is %t, want %t", known, out, want)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(tried) != reachConfig.Replicas {
+		t.Errorf("%d different replicas were tried, want %d", len(tried), reachConfig.Replicas)
+	}
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -75,11 +75,11 @@
 	return found, runs
 }
 
-// anyIn returns the address of a replica that is registered in a data centre.
-func (v *view) anyIn(dataCentre string) (string, bool) {
+// someIn returns addresses of up to n replicas that are registered in a data centre.
+func (v *view) someIn(dataCentre string, n int) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.AnyIn(dataCentre)
+	return v.registry.SomeIn(dataCentre, n)
 }
 
 // oneSnapshot stands for the data that replicas hold: the platform's replicas do
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -116,18 +116,6 @@
 	return changes
 }
 
-// Out reports whether a data centre is out of reach.
-func (t *Tracker) Out(dataCentre string) bool {
-	c := t.centres[dataCentre]
-	return c != nil && c.out
-}
-
-// AnyOut reports whether any data centre is out of reach.
-func (t *Tracker) AnyOut() bool {
-	_, out := t.OutSince()
-	return out
-}
-
 // OutSince returns when the first of the data centres that are out of reach went out,
 // and whether there is one.
 func (t *Tracker) OutSince() (time.Time, bool) {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,10 +24,17 @@
 	return t
 }
 
+func isOut(t *reach.Tracker) bool { return slices.Contains(t.OutOfReach(), "lahore-a") }
+
+func anyOut(t *reach.Tracker) bool {
+	_, out := t.OutSince()
+	return out
+}
+
 // Guards against a data centre that is given up because single replicas pause.
 func TestFewSilentReplicasAreNoCut(t *testing.T) {
 	tr := silent(config.Replicas - 1)
-	if got := tr.Tick(at(5000)); len(got) != 0 || tr.Out("lahore-a") {
+	if got := tr.Tick(at(5000)); len(got) != 0 || isOut(tr) {
 		t.Errorf("changes are %v with %d silent replicas, want none", got, config.Replicas-1)
 	}
 }
@@ -37,7 +45,7 @@
 	if got := tr.Tick(at(150)); len(got) != 0 {
 		t.Errorf("changes are %v before the silence lasted, want none", got)
 	}
-	if got := tr.Tick(at(250)); len(got) != 1 || !tr.Out("lahore-a") || !tr.AnyOut() {
+	if got := tr.Tick(at(250)); len(got) != 1 || !isOut(tr) || !anyOut(tr) {
 		t.Errorf("changes are %v, want lahore-a out of reach", got)
 	}
 	if got := tr.Tick(at(300)); len(got) != 0 {
@@ -52,7 +60,7 @@
 	if c, back := tr.Heard(at(900), "lahore-a"); !back || !c.Reached || c.For != 900*time.Millisecond {
 		t.Errorf("change is %+v, %v", c, back)
 	}
-	if tr.Out("lahore-a") || tr.AnyOut() {
+	if isOut(tr) || anyOut(tr) {
 		t.Error("lahore-a is still out of reach")
 	}
 	if _, back := tr.Heard(at(901), "lahore-a"); back {
@@ -124,7 +132,7 @@
 	if _, out := tr.Checked(at(800), at(440), "lahore-a", config.Replicas); out {
 		t.Error("out of reach although a replica was heard during the check")
 	}
-	if c, out := tr.Checked(at(800), at(500), "lahore-a", config.Replicas); !out || !tr.Out("lahore-a") || c.For != 300*time.Millisecond {
+	if c, out := tr.Checked(at(800), at(500), "lahore-a", config.Replicas); !out || !isOut(tr) || c.For != 300*time.Millisecond {
 		t.Errorf("change is %+v (%t), want lahore-a out of reach", c, out)
 	}
 	if got := tr.OutOfReach(); len(got) != 1 || got[0] != "lahore-a" {
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -215,14 +215,19 @@
 	return Candidate{Replica: e.Replica, ColdNow: now.Before(e.coldUntil), Lapsed: e.missing}, true
 }
 
-// AnyIn returns the address of any replica that is registered in a data centre.
-func (r *Registry) AnyIn(dataCentre string) (string, bool) {
+// SomeIn returns the addresses of up to n replicas, drawn at random, that are registered
+// in a data centre.
+func (r *Registry) SomeIn(dataCentre string, n int) []string {
+	var addresses []string
 	for _, e := range r.entries { // the order of a map differs each time
+		if len(addresses) == n {
+			break
+		}
 		if e.DataCentre == dataCentre && !e.missing && !e.Draining {
-			return e.Address, true
+			addresses = append(addresses, e.Address)
 		}
 	}
-	return "", false
+	return addresses
 }
 
 // Service returns the service of a replica, empty if it is not known.
