entry: refuse a share of requests while the replicas report queues

Cause: in an overload (burst of three to four times with callers that repeat) every host sent on what it got. The replicas' queues filled, most answers were late, and parts that met a full queue took the others of their requests with them. Replicas report their queues with each reply; the reports were not read.

Change: admission.Gate keeps, for each service, the share of requests to refuse: by how far the queue of its least loaded replica lies above one waiting request a slot, at once and added up over time. A request over many shards is drawn by the median of their shares, so that routes are treated alike; a queue that is done within a tenth of the target refuses nothing. A refused request gets 503 with Retry-After before anything is sent.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,7 @@
 	requestLog requestLog
 	answers    *answerTimes
 	shares     *shares
+	overload   *overload
 	offload    *offloader // nil if this host does all requests itself
 }
 
@@ -86,7 +87,7 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(), shares: newShares(), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
+	e := &Entry{settings: s, callers: codec, view: newView(), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
 	e.reach = newReachability(e.pool.Probe, e.view.someIn)
@@ -165,4 +166,5 @@
 func (e *Entry) keepHouse(now time.Time) {
 	e.pool.Keep(e.view.expire(now))
 	e.scatter.Prune(now.Add(-statisticsAge))
+	e.overload.prune(now.Add(-statisticsAge))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -106,7 +106,12 @@
 
 // dispatch sends a request on and answers it. Both times are from the request's start.
 func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, wait, goal time.Duration) {
-	found := e.prospect(time.Now(), route, servicesOf(route))
+	names := servicesOf(route)
+	if e.overload.refuses(out.started, route, names) {
+		e.refuse(w, out, http.StatusServiceUnavailable, refusedAfter(route), "the replicas are overloaded; the request has not run")
+		return
+	}
+	found := e.prospect(time.Now(), route, names)
 	if !found.enoughInReach() {
 		w.Header().Set("Connection", "close")
 		e.refuse(w, out, http.StatusServiceUnavailable, cutOffRetry(route, e.reach.outFor(out.started)), "too few replicas are in reach; the request has not run")
--- a/internal/entry/offload_take.go
+++ b/internal/entry/offload_take.go
@@ -57,6 +57,9 @@
 	if !ok || len(route.Shards) == 0 {
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
+	if e.overload.refuses(started, route, route.Shards) {
+		return gatherReply{Failure: "the replicas are overloaded"}, nil
+	}
 	found := e.prospect(started, route, route.Shards)
 	if !found.enoughInReach() {
 		return gatherReply{Refused: "too few replicas are in reach"}, nil
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -111,6 +111,7 @@
 	if !lapsed { // its silence would say nothing of its data centre
 		s.entry.reach.sent(time.Now(), replica.DataCentre, replica.ID)
 	}
+	sent := time.Now()
 	reply, err := s.entry.pool.Do(ctx, exchange.Call{Request: s.request, Run: run, Deadline: a.Deadline, Fresh: s.atMostOnce})
 	now := time.Now()
 	if errors.Is(err, exchange.ErrNoConnection) {
@@ -124,6 +125,9 @@
 	}
 	s.entry.reach.heard(now, replica.DataCentre)
 	v.heard(now, run, reply.Misdirected, reply.Cold)
+	if !reply.Misdirected {
+		s.entry.overload.reported(now, a.Request.Service, a.Replica, reply.Load, now.Sub(sent))
+	}
 	return s.judge(a, reply)
 }
 
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/admission"
 	"github.com/marigoldlever/marigoldlever/replicas"
 )
 
@@ -42,6 +43,8 @@
 	Cold time.Duration
 	// RetryAfter is the shortest time until the next request; 0 if not stated.
 	RetryAfter time.Duration
+	// Load is the replica's own report; its Slots are 0 if there is none.
+	Load admission.Load
 }
 
 // Codec writes requests and reads replies with the header names of a protocol.
