--- a/query/plan.go
+++ b/query/plan.go
@@ -106,8 +106,6 @@
 	Lapsed bool
 	// Unconnected replicas need a new connection first.
 	Unconnected bool
-	// Full replicas get no further connection of this host at the moment.
-	Full bool
 	// OutOfReach replicas are in a data centre that can't be reached at the moment;
 	// LeastExpected takes them last.
 	OutOfReach bool
