entry, replicas: heed replicas that leave or ask for a pause in their answers

Cause: a replica that says in its answers that it is leaving kept getting requests until its registration said so, and a replica's Retry-After delayed only the one request that it had refused.

Change: replicas keeps what an incarnation said about itself (leaving, paused, cold, moved) beside its entry, so that neither a registration that still says ready, nor a lapse, nor a new list resets it; a new incarnation starts clean. A replica that is leaving gets nothing new from the moment its answer was read, its connections are closed, and a request that had to open a connection asks again before it is written. A paused replica gets nothing from this host until its pause has ended; requests that lack replicas only for pauses are refused at once with the time until enough of them are back, also by a stronger host. Times are bounded; a malformed one is no pause and is logged once for each incarnation.

--- a/internal/entry/availability.go
+++ b/internal/entry/availability.go
@@ -16,13 +16,17 @@
 	withReplica    int // services with a usable replica
 	reachable      int // services with a usable replica in a reachable data centre
 	withConnection int // services with a usable replica to which a connection is free or may be opened, or with no replica at all
+	// pauses has an element for each service whose usable replicas all want no requests
+	// for a while: the time until the first of them may get one. Such services count as
+	// having no replica.
+	pauses []time.Duration
 }
 
 // availability returns the services of a request to a route, and which of them can
 // answer.
 func (e *Entry) availability(now time.Time, route *routing.Route, names []string) availability {
-	services, runs := e.view.services(now, names, e.partitions.equal(len(names)), e.allowedIn(route))
-	a := availability{services: services, required: 1}
+	services, runs, pauses := e.view.services(now, names, e.partitions.equal(len(names)), e.allowedIn(route))
+	a := availability{services: services, required: 1, pauses: pauses}
 	if len(route.Shards) > 0 {
 		a.required = minParts(route.MinimumShare, len(names))
 	}
@@ -60,3 +64,13 @@
 func (a *availability) enoughConnections(route *routing.Route) bool {
 	return len(route.Shards) == 0 || a.withConnection >= a.required
 }
+
+// resumesIn returns the time until enough paused replicas may get requests again for an
+// answer. It returns 0 if the pauses are not what an answer lacks.
+func (a *availability) resumesIn() time.Duration {
+	lacking := a.required - a.withReplica
+	if lacking <= 0 || lacking > len(a.pauses) {
+		return 0
+	}
+	return slices.Sorted(slices.Values(a.pauses))[lacking-1]
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,7 +87,7 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
+	e := &Entry{settings: s, callers: codec, view: newView(registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
 	e.reach = newReachability(e.pool.Probe, e.view.sampleAddresses)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -113,6 +113,10 @@
 		return
 	}
 	available := e.availability(time.Now(), route, names)
+	if resumes := available.resumesIn(); resumes > 0 {
+		e.refuse(w, out, http.StatusServiceUnavailable, resumes, pausedRefusal)
+		return
+	}
 	if !available.enoughReachable() {
 		w.Header().Set("Connection", "close")
 		e.refuse(w, out, http.StatusServiceUnavailable, isolatedRetryAfter(route, e.reach.unreachableFor(out.started)), "too few replicas are in reach; the request has not run")
@@ -144,6 +148,9 @@
 	}
 }
 
+// pausedRefusal is the text of a refusal because of pauses that replicas asked for.
+const pausedRefusal = "too few replicas take requests at the moment; the request has not run"
+
 // execute sends a request to replicas of the services until it has an answer. Both
 // durations count from now.
 func (e *Entry) execute(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, services []query.Service, timeout, latencyGoal time.Duration) (query.Finish, error) {
@@ -222,13 +229,31 @@
 		e.writeReply(w, out, *failure)
 		return
 	}
-	e.refuseUnanswered(w, out, route, finish.MayHaveRun, finish.Refusal.Error(), timeout)
+	e.refuseUnanswered(w, out, finish.MayHaveRun, e.retryAfter(route, finish), finish.Refusal.Error(), timeout)
+}
+
+// retryAfter returns when a caller should repeat a request that has not run: after the
+// pauses that replicas asked for, if these are why it failed.
+func (e *Entry) retryAfter(route *routing.Route, finish query.Finish) time.Duration {
+	usual := refusedRetryAfter(route)
+	var lacking []string
+	for _, m := range finish.Answer.Groups[0].Missing {
+		if m.Reason == query.ReasonPaused {
+			lacking = append(lacking, m.Service)
+		}
+	}
+	if len(lacking) == 0 {
+		return usual
+	}
+	available := e.availability(time.Now(), route, lacking)
+	return max(usual, available.resumesIn())
 }
 
-// refuseUnanswered answers a request that got no result.
-func (e *Entry) refuseUnanswered(w http.ResponseWriter, out *outcome, route *routing.Route, mayHaveRun bool, text string, timeout time.Duration) {
+// refuseUnanswered answers a request that got no result. retryAfter applies if it has not
+// run.
+func (e *Entry) refuseUnanswered(w http.ResponseWriter, out *outcome, mayHaveRun bool, retryAfter time.Duration, text string, timeout time.Duration) {
 	if !mayHaveRun {
-		e.refuse(w, out, http.StatusServiceUnavailable, refusedRetryAfter(route), "the request has not run: "+text)
+		e.refuse(w, out, http.StatusServiceUnavailable, retryAfter, "the request has not run: "+text)
 		return
 	}
 	status := http.StatusBadGateway
--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -63,10 +63,13 @@
 	// request.
 	Refused string `json:"refused,omitempty"`
 	// Failure is why there is no answer, and MayHaveRun whether a part may have run.
-	Failure    string   `json:"failure,omitempty"`
-	MayHaveRun bool     `json:"may_have_run,omitempty"`
-	Body       []byte   `json:"body,omitempty"`
-	Signatures []string `json:"signatures,omitempty"`
+	Failure    string `json:"failure,omitempty"`
+	MayHaveRun bool   `json:"may_have_run,omitempty"`
+	// RetryAfterUS is when the caller should repeat a request that has not run, in
+	// microseconds; 0 from a host that does not state it.
+	RetryAfterUS int64    `json:"retry_after_us,omitempty"`
+	Body         []byte   `json:"body,omitempty"`
+	Signatures   []string `json:"signatures,omitempty"`
 	// TookUS is how long the host worked on the request, in microseconds.
 	TookUS int64 `json:"took_us"`
 }
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -59,9 +59,12 @@
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
 	if e.overload.refuses(started, route, route.Shards) {
-		return gatherReply{Failure: "the replicas are overloaded"}, nil
+		return gatherReply{Failure: "the replicas are overloaded", RetryAfterUS: refusedRetryAfter(route).Microseconds()}, nil
 	}
 	available := e.availability(started, route, route.Shards)
+	if resumes := available.resumesIn(); resumes > 0 {
+		return gatherReply{Failure: pausedRefusal, RetryAfterUS: resumes.Microseconds()}, nil
+	}
 	if !available.enoughReachable() {
 		return gatherReply{Refused: "too few replicas are in reach"}, nil
 	}
@@ -90,7 +93,7 @@
 	out.latencyGoal = latencyGoal
 	var reply gatherReply
 	if finish.Refusal != nil {
-		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun}
+		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: e.retryAfter(route, finish).Microseconds()}
 		out.reason = reply.Failure
 	} else {
 		out.status = http.StatusOK
--- a/internal/entry/offload_send.go
+++ b/internal/entry/offload_send.go
@@ -46,7 +46,7 @@
 	case err != nil:
 		o.failed.Inc(1)
 		o.recordResult(host.ID, offload.Failed)
-		o.entry.refuseUnanswered(w, out, route, true, err.Error(), timeout)
+		o.entry.refuseUnanswered(w, out, true, 0, err.Error(), timeout)
 	case reply.Refused != "":
 		o.refused.Inc(1)
 		o.recordResult(host.ID, offload.Refused)
@@ -66,7 +66,8 @@
 func (o *offloader) writeGatherReply(w http.ResponseWriter, out *outcome, route *routing.Route, reply gatherReply, timeout time.Duration) {
 	e := o.entry
 	if reply.Failure != "" {
-		e.refuseUnanswered(w, out, route, reply.MayHaveRun, reply.Failure, timeout)
+		retryAfter := max(time.Duration(reply.RetryAfterUS)*time.Microsecond, refusedRetryAfter(route))
+		e.refuseUnanswered(w, out, reply.MayHaveRun, retryAfter, reply.Failure, timeout)
 		return
 	}
 	e.writeMerged(w, out, route, reply.Body, reply.Signatures)
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
+	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/upstream"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
@@ -104,6 +105,8 @@
 	switch p {
 	case unusable:
 		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errUnusable, "replica %s", a.Replica), upstream.ErrDraining)}
+	case paused:
+		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Wrapf(upstream.ErrPaused, "replica %s", a.Replica)}
 	case coldLimited:
 		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errColdLimited, "replica %s", a.Replica), upstream.ErrShed)}
 	}
@@ -112,8 +115,14 @@
 		s.entry.reach.sent(time.Now(), replica.DataCentre, replica.ID)
 	}
 	sent := time.Now()
-	reply, err := s.entry.pool.Do(ctx, exchange.Call{Request: s.request, Destination: run, Deadline: a.Deadline, FreshConnection: s.atMostOnce})
+	reply, err := s.entry.pool.Do(ctx, exchange.Call{
+		Request: s.request, Destination: run, Deadline: a.Deadline, FreshConnection: s.atMostOnce,
+		Permitted: func() error { return s.stillPermitted(run) },
+	})
 	now := time.Now()
+	if errors.Is(err, errUnusable) {
+		return reply, &scatter.UnsentError{Cause: errors.Mark(err, upstream.ErrDraining)}
+	}
 	if errors.Is(err, exchange.ErrNoConnection) {
 		return reply, &scatter.UnsentError{Cause: errors.Mark(err, upstream.ErrShed)}
 	}
@@ -124,20 +133,30 @@
 		return reply, err
 	}
 	s.entry.reach.recordReply(now, replica.DataCentre)
-	v.recordReply(now, run, reply.Misdirected, reply.ColdRemaining)
+	v.recordReply(now, run, &reply)
 	if !reply.Misdirected {
 		s.entry.overload.recordLoad(now, a.Request.Service, a.Replica, reply.Load, now.Sub(sent))
 	}
 	return s.classify(a, reply)
 }
 
+// stillPermitted returns an error if a run may no longer get the request.
+func (s *sender) stillPermitted(run replicas.Incarnation) error {
+	if s.entry.view.stillPermitted(time.Now(), run) {
+		return nil
+	}
+	return errors.Wrapf(errUnusable, "replica %s", run.ID)
+}
+
 // classify turns a replica's reply into an answer or an error.
 func (s *sender) classify(a scatter.Attempt, reply exchange.Reply) (exchange.Reply, error) {
 	switch {
 	case reply.Misdirected:
 		return reply, &scatter.RefusedError{Cause: errors.Wrapf(upstream.ErrDraining, "another replica answered at the address of replica %s", a.Replica)}
+	case reply.NotRun && reply.Pause > 0:
+		return reply, &scatter.RefusedError{Cause: errors.Wrapf(upstream.ErrPaused, "replica %s", a.Replica)}
 	case reply.NotRun:
-		return reply, &scatter.RefusedError{Cause: errors.Wrapf(upstream.ErrShed, "replica %s", a.Replica), RetryAfter: reply.RetryAfter}
+		return reply, &scatter.RefusedError{Cause: errors.Wrapf(upstream.ErrShed, "replica %s", a.Replica)}
 	case reply.Status < http.StatusMultipleChoices && reply.Signature != "":
 		return reply, nil
 	case s.parts:
@@ -161,7 +180,7 @@
 		name string
 	}{
 		{errUnusable, "leaving"}, {errColdLimited, "cold"}, {exchange.ErrNoConnection, "connections"}, {upstream.ErrConnect, "connect"},
-		{errFailure, "failure"}, {upstream.ErrDraining, "moved"}, {upstream.ErrShed, "shed"}, {upstream.ErrTimeout, "timeout"},
+		{errFailure, "failure"}, {upstream.ErrPaused, "paused"}, {upstream.ErrDraining, "moved"}, {upstream.ErrShed, "shed"}, {upstream.ErrTimeout, "timeout"},
 		{upstream.ErrMismatch, "mismatch"},
 	} {
 		if errors.Is(err, c.err) {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/capacity"
@@ -12,6 +13,7 @@
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/routing"
+	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
 
 // lapsedGrace is how long replicas whose entries lapsed during a store outage may take
@@ -29,16 +31,20 @@
 	registry       *replicas.Registry
 	cold           *capacity.ColdRateLimiter[replicas.Incarnation]
 	dataCentresOut map[string]bool
-	replicasListed bool // whether the replicas were listed once
-	outListed      bool // whether the data centres that are out were listed once
+	leaving        metrics.Counter // replicas that said in a reply that they are leaving
+	paused         metrics.Counter // pauses that replicas asked for
+	replicasListed bool            // whether the replicas were listed once
+	outListed      bool            // whether the data centres that are out were listed once
 }
 
-func newView() *view {
+func newView(registry metrics.Registry) *view {
 	return &view{
 		onTable:        func(*routing.Table) {},
 		registry:       replicas.New(lapsedGrace),
 		cold:           capacity.NewColdRateLimiter[replicas.Incarnation](),
 		dataCentresOut: make(map[string]bool),
+		leaving:        metrics.GetOrRegisterCounter("replicas.leaving", registry),
+		paused:         metrics.GetOrRegisterCounter("replicas.pauses", registry),
 	}
 }
 
@@ -50,29 +56,38 @@
 }
 
 // services returns the query services with their usable replicas in allowed data
-// centres. The hash space is divided equally among the names, so that each counts the
-// same towards coverage.
-func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed func(dataCentre string) bool) ([]query.Service, []replicas.Incarnation) {
+// centres, and the incarnations of these replicas. The hash space is divided equally
+// among the names, so that each counts the same towards coverage. For each service whose
+// usable replicas are all paused, it also returns the time until the first may be used.
+func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed func(dataCentre string) bool) ([]query.Service, []replicas.Incarnation, []time.Duration) {
 	result := make([]query.Service, len(names))
 	copy(result, partitions)
 	replicaBuffer := make([]query.Replica, 0, 2*len(names))
 	runs := make([]replicas.Incarnation, 0, 2*len(names))
 	var usable []replicas.Candidate
+	var pauses []time.Duration
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for i, name := range names {
 		result[i].Name = name
 		usable = v.registry.Usable(now, name, usable[:0])
-		from := len(replicaBuffer)
+		from, pause := len(replicaBuffer), time.Duration(0)
 		for _, c := range usable {
-			if allowed(c.DataCentre) {
+			switch {
+			case !allowed(c.DataCentre):
+			case c.Pause == 0:
 				replicaBuffer = append(replicaBuffer, query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed})
 				runs = append(runs, c.Incarnation())
+			case pause == 0 || c.Pause < pause:
+				pause = c.Pause
 			}
 		}
+		if pause > 0 && len(replicaBuffer) == from {
+			pauses = append(pauses, pause)
+		}
 		result[i].Replicas = replicaBuffer[from:len(replicaBuffer):len(replicaBuffer)]
 	}
-	return result, runs
+	return result, runs, pauses
 }
 
 // sampleAddresses returns addresses of up to n random replicas registered in a data
@@ -90,7 +105,7 @@
 const snapshot = 1
 
 // permit checks a replica again right before a send. It refuses a replica that may no
-// longer get new work, or whose request rate while cold is used up.
+// longer get new work, that is paused, or whose request rate while cold is used up.
 func (v *view) permit(now time.Time, id string, coldShare func(service string) float64) (rep replicas.Replica, lapsed bool, p permission) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -98,6 +113,8 @@
 	switch {
 	case !ok:
 		return replicas.Replica{}, false, unusable
+	case c.Pause > 0:
+		return replicas.Replica{}, false, paused
 	case c.ColdNow && !v.cold.Allow(now, c.Incarnation(), coldShare(c.Service)):
 		return replicas.Replica{}, false, coldLimited
 	}
@@ -109,7 +126,8 @@
 
 const (
 	allowed     permission = iota
-	unusable               // draining, unregistered, moved or in a data centre that is out
+	unusable               // leaving, unregistered, moved or in a data centre that is out
+	paused                 // the replica wants no requests from this host for a while
 	coldLimited            // this host's share of the cold replica's request rate is used up
 )
 
@@ -120,18 +138,39 @@
 	return v.registry.Service(id)
 }
 
-// recordReply records what a reply says about the replica.
-func (v *view) recordReply(now time.Time, run replicas.Incarnation, moved bool, cold time.Duration) {
-	if !moved && cold == 0 {
+// stillPermitted reports whether a run that got permission may still get new work.
+func (v *view) stillPermitted(now time.Time, run replicas.Incarnation) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c, ok := v.registry.GetUsable(now, run.ID)
+	return ok && c.Pause == 0 && c.Incarnation() == run
+}
+
+// recordReply records what a reply says about the replica. A reply of another replica
+// than the one asked for says only that the run has moved.
+func (v *view) recordReply(now time.Time, run replicas.Incarnation, reply *exchange.Reply) {
+	if !reply.Misdirected && !reply.Leaving && reply.ColdRemaining == 0 && reply.Pause == 0 && reply.MalformedPause == "" {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if moved {
+	if reply.Misdirected {
 		v.registry.MarkMoved(run)
+		return
+	}
+	if reply.Leaving && v.registry.MarkLeaving(run) {
+		v.leaving.Inc(1)
+		klog.InfoS("Replica says that it is leaving", "replica", run.ID, "address", run.Address)
+	}
+	if reply.Pause > 0 && v.registry.Pause(now, run, reply.Pause) {
+		v.paused.Inc(1)
+		klog.InfoS("Replica asked for a pause", "replica", run.ID, "address", run.Address, "pauseMS", reply.Pause.Milliseconds())
+	}
+	if reply.MalformedPause != "" && v.registry.MarkMalformed(run) {
+		klog.InfoS("Replica asked for a pause that can't be decoded", "replica", run.ID, "address", run.Address, "text", reply.MalformedPause)
 	}
-	if cold > 0 {
-		v.registry.Cold(now, run, cold)
+	if reply.ColdRemaining > 0 {
+		v.registry.Cold(now, run, reply.ColdRemaining)
 	}
 }
 
--- a/query/action.go
+++ b/query/action.go
@@ -130,10 +130,10 @@
 
 // Failure describes a failed attempt.
 type Failure struct {
-	// Reason is one of ReasonTimedOut, ReasonShed, ReasonLeaving, ReasonOut,
-	// ReasonSnapshot, ReasonMoved, ReasonNoReplica and ReasonBroken. After
-	// ReasonLeaving and ReasonOut the query sends nothing more to the replica; after
-	// ReasonNoReplica it does not try the same replica again.
+	// Reason is one of ReasonTimedOut, ReasonShed, ReasonLeaving, ReasonPaused,
+	// ReasonOut, ReasonSnapshot, ReasonMoved, ReasonNoReplica and ReasonBroken. After
+	// ReasonLeaving, ReasonPaused and ReasonOut the query sends nothing more to the
+	// replica; after ReasonNoReplica it does not try the same replica again.
 	Reason Reason
 	Held   []uint64 // snapshots that the replica holds; set with ReasonSnapshot
 	// RetryAfter is the minimum wait before the same replica is tried again; 0 if
@@ -157,6 +157,8 @@
 		return Failure{Reason: ReasonShed}
 	case errors.Is(err, upstream.ErrDraining):
 		return Failure{Reason: ReasonLeaving}
+	case errors.Is(err, upstream.ErrPaused):
+		return Failure{Reason: ReasonPaused}
 	case errors.Is(err, upstream.ErrSnapshotGone):
 		return Failure{Reason: ReasonSnapshot, Held: held}
 	case errors.Is(err, upstream.ErrMoved):
--- a/query/plan.go
+++ b/query/plan.go
@@ -33,6 +33,8 @@
 	ReasonOut Reason = "out"
 	// ReasonLeaving means that the replicas are draining before they leave.
 	ReasonLeaving Reason = "leaving"
+	// ReasonPaused means that the replicas want no requests from this host for a while.
+	ReasonPaused Reason = "paused"
 	// ReasonMoved means that the partition moved and that it is not known which
 	// replica covers the range now.
 	ReasonMoved Reason = "moved"
--- a/query/send.go
+++ b/query/send.go
@@ -213,7 +213,7 @@
 	switch f.Reason {
 	case ReasonSnapshot:
 		rep.held = append([]uint64{}, f.Held...)
-	case ReasonLeaving, ReasonOut:
+	case ReasonLeaving, ReasonPaused, ReasonOut:
 		rep.unusable = f.Reason
 	}
 	if t.attemptsInFlight > 0 {
--- a/query/stats.go
+++ b/query/stats.go
@@ -248,9 +248,10 @@
 
 // failed updates the failure rate after a failed attempt. Attempts that were never
 // sent don't count, because they say nothing about the replica, unless the
-// connection to it failed.
+// connection to it failed. Nor does a request for a pause, which says itself when the
+// replica may be used again.
 func (r *replicaStats) failed(now time.Time, f Failure) {
-	if f.Unsent && f.Reason != ReasonBroken {
+	if f.Unsent && f.Reason != ReasonBroken || f.Reason == ReasonPaused {
 		return
 	}
 	rate := r.failureRate(now)
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -4,7 +4,8 @@
 //
 // The registry in the store may lag, lose entries and be unavailable. Entries that
 // lapse while the store is unavailable come back shortly after it is available again if
-// their replica is alive; until then a Registry continues to use these replicas.
+// their replica is alive; until then a Registry continues to use these replicas. What a
+// replica says in its replies belongs to its incarnation and outlasts its entry.
 package replicas
 
 import (
@@ -41,14 +42,24 @@
 	return Incarnation{ID: r.ID, Address: r.Address, Started: r.Started}
 }
 
-// entry is a registered replica with what this host has learnt about it since.
+// entry is a registered replica.
 type entry struct {
 	Replica
-	coldUntil time.Time
+	run *run
 	// lapsed is set while the entry is gone from the store and may come back.
 	lapsed bool
-	// moved is set when another replica has answered at the address.
-	moved bool
+}
+
+// usable reports whether the replica may get new work, apart from a pause.
+func (e *entry) usable(out map[string]bool) bool {
+	return !e.Draining && !e.run.moved && !e.run.leaving && !out[e.DataCentre]
+}
+
+func (e *entry) candidate(now time.Time) Candidate {
+	return Candidate{
+		Replica: e.Replica, ColdNow: now.Before(e.run.coldUntil), Lapsed: e.lapsed,
+		Pause: max(e.run.pausedUntil.Sub(now), 0),
+	}
 }
 
 // Registry holds the replicas by service. It is not safe for concurrent use.
@@ -58,6 +69,7 @@
 	lapsedGrace time.Duration
 	entries     map[string]*entry
 	services    map[string][]*entry
+	runs        map[Incarnation]*run
 	out         map[string]bool // data centres whose replicas get no new work
 	available   bool
 	changedAt   time.Time // when available last changed
@@ -66,7 +78,8 @@
 // New returns an empty registry whose store is not available yet.
 func New(lapsedGrace time.Duration) *Registry {
 	return &Registry{
-		lapsedGrace: lapsedGrace, entries: map[string]*entry{}, services: map[string][]*entry{}, out: map[string]bool{},
+		lapsedGrace: lapsedGrace, entries: map[string]*entry{}, services: map[string][]*entry{},
+		runs: map[Incarnation]*run{}, out: map[string]bool{},
 	}
 }
 
@@ -88,21 +101,21 @@
 	e := r.entries[rep.ID]
 	switch {
 	case e == nil:
-		e = &entry{}
+		e = &entry{run: r.registerRun(rep.Incarnation())}
 		r.entries[rep.ID] = e
 	case rep.Revision < e.Revision:
 		return
 	case e.Service != rep.Service:
 		r.unlink(e)
 	}
-	if e.Incarnation() != rep.Incarnation() {
-		e.moved = false
-		e.coldUntil = time.Time{}
+	if e.Incarnation() != rep.Incarnation() && e.ID != "" {
+		r.unregisterRun(now, e.Incarnation())
+		e.run = r.registerRun(rep.Incarnation())
 	}
 	e.Replica = rep
 	e.lapsed = false
 	if rep.Cold > 0 {
-		e.coldUntil = now.Add(rep.Cold)
+		e.run.coldUntil = now.Add(rep.Cold)
 	}
 	if !slices.Contains(r.services[rep.Service], e) {
 		r.services[rep.Service] = append(r.services[rep.Service], e)
@@ -120,7 +133,7 @@
 		e.lapsed = true
 		return
 	}
-	r.drop(e)
+	r.drop(now, e)
 }
 
 // Replace sets all entries to a complete list.
@@ -138,7 +151,9 @@
 }
 
 // Expire drops the lapsed entries once the registry has settled, and returns their ids.
+// It also forgets the runs that have long been unregistered.
 func (r *Registry) Expire(now time.Time) []string {
+	r.forgetRuns(now)
 	if r.settling(now) {
 		return nil
 	}
@@ -146,15 +161,16 @@
 	for id, e := range r.entries {
 		if e.lapsed {
 			expired = append(expired, id)
-			r.drop(e)
+			r.drop(now, e)
 		}
 	}
 	slices.Sort(expired)
 	return expired
 }
 
-func (r *Registry) drop(e *entry) {
+func (r *Registry) drop(now time.Time, e *entry) {
 	r.unlink(e)
+	r.unregisterRun(now, e.Incarnation())
 	delete(r.entries, e.ID)
 }
 
@@ -170,52 +186,37 @@
 // SetDataCentresOut sets the data centres whose replicas get no new work.
 func (r *Registry) SetDataCentresOut(out map[string]bool) { r.out = out }
 
-// MarkMoved records that another replica answered at the address of a run.
-func (r *Registry) MarkMoved(run Incarnation) {
-	if e := r.entries[run.ID]; e != nil && e.Incarnation() == run {
-		e.moved = true
-	}
-}
-
-// Cold records that a run reported how much longer it stays cold. A shorter time than
-// known is ignored, because believing it would raise the load on a cold replica.
-func (r *Registry) Cold(now time.Time, run Incarnation, remaining time.Duration) {
-	e := r.entries[run.ID]
-	if e == nil || e.Incarnation() != run {
-		return
-	}
-	if until := now.Add(remaining); until.After(e.coldUntil) {
-		e.coldUntil = until
-	}
-}
-
 // Candidate is a replica that may get new work.
 type Candidate struct {
 	Replica
 	ColdNow bool
 	// Lapsed is set while the entry is gone from the store and may come back.
 	Lapsed bool
+	// Pause is how much longer the replica wants no requests from this host; 0 if it
+	// may get some now.
+	Pause time.Duration
 }
 
-// Usable appends the replicas of a service that may get new work to dst.
+// Usable appends the replicas of a service that may get new work, now or after a pause,
+// to dst.
 func (r *Registry) Usable(now time.Time, service string, dst []Candidate) []Candidate {
 	for _, e := range r.services[service] {
-		if e.Draining || e.moved || r.out[e.DataCentre] {
-			continue
+		if e.usable(r.out) {
+			dst = append(dst, e.candidate(now))
 		}
-		dst = append(dst, Candidate{Replica: e.Replica, ColdNow: now.Before(e.coldUntil), Lapsed: e.lapsed})
 	}
 	return dst
 }
 
-// GetUsable returns a replica if it may still get new work. It is meant to be called
-// right before a send, which may come long after the replica was chosen.
+// GetUsable returns a replica if it may still get new work, now or after a pause. It is
+// meant to be called right before a send, which may come long after the replica was
+// chosen.
 func (r *Registry) GetUsable(now time.Time, id string) (Candidate, bool) {
 	e := r.entries[id]
-	if e == nil || e.Draining || e.moved || r.out[e.DataCentre] {
+	if e == nil || !e.usable(r.out) {
 		return Candidate{}, false
 	}
-	return Candidate{Replica: e.Replica, ColdNow: now.Before(e.coldUntil), Lapsed: e.lapsed}, true
+	return e.candidate(now), true
 }
 
 // SampleAddresses returns the addresses of up to n random replicas registered in a data
@@ -226,7 +227,7 @@
 		if len(addresses) == n {
 			break
 		}
-		if e.DataCentre == dataCentre && !e.lapsed && !e.Draining {
+		if e.DataCentre == dataCentre && !e.lapsed && !e.Draining && !e.run.leaving {
 			addresses = append(addresses, e.Address)
 		}
 	}
@@ -244,11 +245,14 @@
 // Len returns the number of entries.
 func (r *Registry) Len() int { return len(r.entries) }
 
-// Incarnations returns the set of all entries' incarnations.
+// Incarnations returns the set of all entries' incarnations, without those that said
+// that they are leaving.
 func (r *Registry) Incarnations() map[Incarnation]bool {
 	all := make(map[Incarnation]bool, len(r.entries))
 	for _, e := range r.entries {
-		all[e.Incarnation()] = true
+		if !e.run.leaving {
+			all[e.Incarnation()] = true
+		}
 	}
 	return all
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -39,10 +39,15 @@
 	NotRun bool
 	// Misdirected is set if another replica answers at the address.
 	Misdirected bool
+	// Leaving is set if the replica states that it is leaving.
+	Leaving bool
 	// ColdRemaining is the time for which the replica will stay cold.
 	ColdRemaining time.Duration
-	// RetryAfter is the minimum time to the next request; 0 if the replica states none.
-	RetryAfter time.Duration
+	// Pause is how long the replica wants no requests from this host; 0 if it does not
+	// ask for a pause.
+	Pause time.Duration
+	// MalformedPause is the text of a request for a pause that can't be decoded.
+	MalformedPause string
 	// Load is the replica's own load report. Load.Slots is 0 if there is none.
 	Load admission.Load
 }
@@ -65,4 +70,7 @@
 	// replica has closed an idle connection, a request lost on it can't be distinguished
 	// from one that ran.
 	FreshConnection bool
+	// Permitted is asked again after a connection was opened, which takes time. If it
+	// returns an error, the request is not sent, and Do returns the error.
+	Permitted func() error
 }
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -89,6 +89,12 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if conn.lastID == "" && c.Permitted != nil {
+		if err := c.Permitted(); err != nil {
+			p.release(c.Destination, conn, true)
+			return Reply{}, err
+		}
+	}
 	started := time.Now()
 	reply, keep, err := p.roundTrip(ctx, conn, c)
 	if errors.Is(err, upstream.ErrTimeout) {
@@ -351,7 +357,11 @@
 		keep = p.countClosed("extra_bytes")
 	}
 	c.idle = keepAliveTime(response.Header.Get("Keep-Alive"))
-	return p.codec.ReadReply(response.StatusCode, response.Header, body), keep, nil
+	reply := p.codec.ReadReply(response.StatusCode, response.Header, body)
+	if keep && reply.Leaving {
+		keep = p.countClosed("replica_leaves")
+	}
+	return reply, keep, nil
 }
 
 // countClosed counts a connection that is closed, by cause. It returns false.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,6 +28,9 @@
 	// ErrDraining reports that the upstream is about to stop and refused the
 	// request; it did not run.
 	ErrDraining = errors.New("upstream is draining")
+	// ErrPaused reports that the upstream wants no requests from this host for a while;
+	// the request did not run.
+	ErrPaused = errors.New("upstream asked for a pause")
 	// ErrSnapshotGone reports that the upstream does not hold the snapshot
 	// asked for. Reply.Held lists those that it holds.
 	ErrSnapshotGone = errors.New("upstream does not hold the snapshot")
@@ -46,7 +49,7 @@
 
 // NotRun reports whether err proves that the upstream did not run the request.
 func NotRun(err error) bool {
-	return errors.IsAny(err, ErrShed, ErrDraining, ErrSnapshotGone, ErrMoved, ErrConnect)
+	return errors.IsAny(err, ErrShed, ErrDraining, ErrPaused, ErrSnapshotGone, ErrMoved, ErrConnect)
 }
 
 // Request is one sub-request to an upstream.
