platform, httpstore: let an odd entry of a list cost only itself

Cause: a list was decoded as one JSON text, so that an entry nested 9,999 levels deep, or one that a watcher could not encode again, stopped the host from following the list.

Change: replies with objects of several writers are split when they can't be decoded as a whole (internal/jsonlist, over gjson), objects nested more than 64 levels have no value, and a list that can't continue fails.

--- a/objectstore/httpstore/client_test.go
+++ b/objectstore/httpstore/client_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,3 +202,20 @@
 		}
 	}
 }
+
+// Guards against a host list that fails, or loses its other entries, because of one odd
+// entry of another writer.
+func TestOddHostCostsOnlyItself(t *testing.T) {
+	deep := strings.Repeat("[", 20000) + strings.Repeat("]", 20000)
+	for _, odd := range []string{deep, `{"id":` + deep + `}`, `{"id":7}`, `"text"`, `{"leaving":1e999}`} {
+		url := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			text := `[{"id":"a","peer_address":"10.0.0.1:1"},` + odd + `,{"id":"b","peer_address":"10.0.0.2:1"}]`
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+			_, _ = io.WriteString(w, text)
+		})
+		hosts, err := newClient(t, url, nil).Hosts(context.Background())
+		if err != nil || len(hosts) != 2 || hosts[0].ID != "a" || hosts[1].ID != "b" {
+			t.Errorf("%.20s: hosts are %+v, %v, want a and b", odd, hosts, err)
+		}
+	}
+}
--- a/objectstore/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
+	"github.com/marigoldlever/marigoldlever/internal/jsonlist"
 	"github.com/marigoldlever/marigoldlever/objectstore"
 )
 
@@ -109,10 +111,19 @@
 	if r.status != http.StatusOK {
 		return nil, failure(objectstore.ErrUnavailable, k, statusText(r))
 	}
-	var hosts []objectstore.Host
-	if err := json.Unmarshal(r.body, &hosts); err != nil {
+	entries, err := jsonlist.Elements(r.body, "")
+	if err != nil {
 		return nil, failure(objectstore.ErrUnavailable, k, err)
 	}
+	hosts := make([]objectstore.Host, 0, len(entries))
+	for _, entry := range entries {
+		var h objectstore.Host
+		if err := jsonlist.Decode(entry, &h); err != nil {
+			klog.ErrorS(err, "Skipped an entry of the host list that can't be decoded", "bytes", len(entry))
+			continue
+		}
+		hosts = append(hosts, h)
+	}
 	return hosts, nil
 }
 
