--- a/watchers/watchers_test.go
+++ b/watchers/watchers_test.go
@@ -196,13 +196,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	t.Cleanup(func() { cancel(); group.Wait() })
+	// A host skips a watcher that does not listen yet for longer than a test runs, so all
+	// of them listen before the first call.
+	sources := map[*testHost]*Source{}
 	for _, m := range byID {
 		relay := New(testConfig, m.Host, m.node)
-		source := relay.Source("list", m.hostStore)
+		sources[m] = relay.Source("list", m.hostStore)
 		relay.SetHosts(hosts)
 		if err := m.node.Listen(m.Address); err != nil {
 			t.Fatal(err)
 		}
+	}
+	for m, source := range sources {
 		group.Go(func() {
 			follow.Run[json.RawMessage](ctx, follow.Config{InitialBackoff: 10 * time.Millisecond, MaxBackoff: 50 * time.Millisecond}, source, m)
 		})
