exchange: bound the replies of replicas, one by one and in sum

Cause: a reply's header, and interim responses before it, were read without a bound until the deadline; a body was bounded at 64 MB each, and a length that was only announced took that memory at once. Times 90 or 450 shards that is more than a small host has. Besides, a refusal without a request id proved that a request on a reused connection had not run, though it may be a late copy that belongs to the request before.

Change: 64 KB for the header with all interim responses, 1/32 of the host's memory for a body, 1/8 for all bodies above 16 KB together; a reply that needs more is given up and its connection closed. Framing and trailers count. A caller's body has a bound also if the configuration sets none.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -44,6 +44,11 @@
 	// it, the collector runs more often.
 	memoryLimitShare = 0.7
 	megabyte         = 1 << 20
+	// replyShare and repliesShare of the memory limit bound the body of one reply and of
+	// all large ones together. The collector lets memory grow to a few times of what is
+	// held.
+	replyShare   = 1.0 / 32
+	repliesShare = 1.0 / 8
 	// gcPercent lets the heap grow to a few times its live size, which is small: on a
 	// fifth of a core, more frequent collection delays answers.
 	gcPercent = 300
@@ -90,6 +95,10 @@
 	e := &Entry{settings: s, callers: codec, view: newView(registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
+	if s.MemoryMB > 0 {
+		memory := float64(s.MemoryMB) * megabyte
+		e.pool.LimitMemory(int64(replyShare*memory), int64(repliesShare*memory))
+	}
 	e.reach = newReachability(e.pool.Probe, e.view.sampleAddresses)
 	e.scatter = scatter.New(scatter.Config{
 		Stripes:     1,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -90,7 +90,7 @@
 		return nil, nil
 	}
 	if limit <= 0 {
-		return io.ReadAll(r.Body)
+		limit = defaultLimits.BodyBytes
 	}
 	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 }
@@ -129,6 +129,7 @@
 	passed := time.Since(out.started)
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(r.Context(), out, route, request, available.services, timeout-passed, latencyGoal-passed)
+	defer out.sender.close()
 	if err != nil {
 		e.reportCallerLeft(out)
 		return
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -86,6 +86,7 @@
 	latencyGoal := time.Duration(call.LatencyGoalUS) * time.Microsecond
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(ctx, &out, route, &request, available.services, timeout, latencyGoal)
+	defer out.sender.close()
 	if err != nil {
 		e.reportCallerLeft(&out)
 		return nil, err
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -30,6 +30,8 @@
 	failure *exchange.Reply // the last failure reply of a replica
 	causes  map[string]int  // number of failed attempts by cause, for the log
 	sent    int
+	held    int64 // memory of the replies, released by close
+	closed  bool
 	// slowest is the replica whose reply took longest, for the log.
 	slowest     string
 	slowestTime time.Duration
@@ -77,6 +79,7 @@
 		cancel()
 		delete(s.cancels, a.ID)
 	}
+	s.hold(reply.Held)
 	if err == nil {
 		s.replies[a.ID] = reply
 		if took > s.slowestTime {
@@ -92,6 +95,25 @@
 	}, err)
 }
 
+// hold records the memory of a reply until close, and releases it after that. The caller
+// holds mu.
+func (s *sender) hold(bytes int64) {
+	if s.closed {
+		s.entry.pool.Release(bytes)
+		return
+	}
+	s.held += bytes
+}
+
+// close releases the memory of the replies. They must not be used any more.
+func (s *sender) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.entry.pool.Release(s.held)
+	s.held = 0
+}
+
 var (
 	errUnusable    = errors.New("replica is not available for new work")
 	errColdLimited = errors.New("this host's share of the cold replica's request rate is used up")
@@ -116,7 +138,7 @@
 	}
 	sent := time.Now()
 	reply, err := s.entry.pool.Do(ctx, exchange.Call{
-		Request: s.request, Destination: run, Deadline: a.Deadline, FreshConnection: s.atMostOnce,
+		Request: s.request, Destination: run, Deadline: a.Deadline, AtMostOnce: s.atMostOnce,
 		Permitted: func() error { return s.stillPermitted(run) },
 	})
 	now := time.Now()
@@ -180,7 +202,7 @@
 		name string
 	}{
 		{errUnusable, "leaving"}, {errColdLimited, "cold"}, {exchange.ErrNoConnection, "connections"}, {upstream.ErrConnect, "connect"},
-		{errFailure, "failure"}, {upstream.ErrPaused, "paused"}, {upstream.ErrDraining, "moved"}, {upstream.ErrShed, "shed"}, {upstream.ErrTimeout, "timeout"},
+		{errFailure, "failure"}, {upstream.ErrPaused, "paused"}, {exchange.ErrTooLarge, "too_large"}, {upstream.ErrDraining, "moved"}, {upstream.ErrShed, "shed"}, {upstream.ErrTimeout, "timeout"},
 		{upstream.ErrMismatch, "mismatch"},
 	} {
 		if errors.Is(err, c.err) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -12,8 +12,9 @@
 	"github.com/marigoldlever/marigoldlever/routing"
 )
 
-// defaultLimits apply until the first configuration is in force.
-var defaultLimits = routing.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
+// defaultLimits apply until the first configuration is in force. That of the body also
+// applies if the configuration sets none.
+var defaultLimits = routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
 
 // idleMargin is added to the idle timeout that callers are told, so that a request sent
 // just before it expires still finds the connection open.
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +16,7 @@
 	net.Conn
 	raw      syscall.RawConn
 	reader   *bufio.Reader
+	bounded  *boundedReader // below reader
 	lastUsed time.Time
 	idle     time.Duration // for which the replica keeps the idle connection open
 	lastID   string        // id of the last request
@@ -73,20 +73,6 @@
 	}
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	defer response.Body.Close()
-	if n := response.ContentLength; n >= 0 && n <= maxBodyBytes {
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errors.Newf("reply is larger than %d bytes", maxBodyBytes)
-	}
-	return body, err
-}
-
 // usable reports whether an idle connection is still open and has received no bytes. Such
 // bytes would not belong to any request.
 func (c *conn) usable() bool {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -31,6 +31,8 @@
 	Status int
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
+	// Held is the memory of Body that Pool.Release returns; 0 for a small one.
+	Held int64
 	// RequestID is the request id that the replica echoed, or "" if it sent none.
 	RequestID string
 	// Signature proves which replica processed which request.
@@ -66,10 +68,10 @@
 	Request     *Request
 	Destination replicas.Incarnation
 	Deadline    time.Time
-	// FreshConnection requests a connection that was used very recently or is new. If the
-	// replica has closed an idle connection, a request lost on it can't be distinguished
-	// from one that ran.
-	FreshConnection bool
+	// AtMostOnce is set if the request must not run twice. It then gets a connection that
+	// was used very recently or is new: if the replica has closed an idle connection, a
+	// request lost on it can't be distinguished from one that ran.
+	AtMostOnce bool
 	// Permitted is asked again after a connection was opened, which takes time. If it
 	// returns an error, the request is not sent, and Do returns the error.
 	Permitted func() error
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -33,18 +33,18 @@
 	// idleMargin is the minimum time between the reuse of an idle connection and the time
 	// at which the replica closes it.
 	idleMargin = 700 * time.Millisecond
-	// maxFreshIdle is the maximum idle time of a connection for Call.FreshConnection.
+	// maxFreshIdle is the maximum idle time of a connection for Call.AtMostOnce.
 	maxFreshIdle = time.Second
 
-	readBufferBytes = 2 << 10  // bytes
-	maxBodyBytes    = 64 << 20 // bytes
+	readBufferBytes = 2 << 10
 )
 
 // Pool keeps connections to replicas, separately for each incarnation of a replica.
 type Pool struct {
-	codec Codec
-	limit func(incarnation replicas.Incarnation) int
-	dial  func(ctx context.Context, address string) (net.Conn, error)
+	codec  Codec
+	memory replyMemory
+	limit  func(incarnation replicas.Incarnation) int
+	dial   func(ctx context.Context, address string) (net.Conn, error)
 
 	opened, reused, lost, mismatched metrics.Counter
 	registry                         metrics.Registry
@@ -71,6 +71,7 @@
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &Pool{
 		codec: codec, limit: limit, registry: registry,
+		memory: replyMemory{maxBody: defaultMaxBodyBytes, maxTotal: defaultMaxTotalBytes},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -82,6 +83,16 @@
 	}
 }
 
+// LimitMemory bounds the body of a reply and all large bodies that are held together, in
+// bytes. It must be called before the first request.
+func (p *Pool) LimitMemory(body, total int64) {
+	p.memory.maxBody, p.memory.maxTotal = body, total
+}
+
+// Release returns the memory of replies, the sum of their Reply.Held. It must be called
+// once they are no longer used.
+func (p *Pool) Release(held int64) { p.memory.release(held) }
+
 // Do sends the request and reads the reply. When ctx ends, a request that was not sent is
 // dropped; the reply to one that was sent is awaited for up to lingerTime.
 func (p *Pool) Do(ctx context.Context, c Call) (Reply, error) {
@@ -167,7 +178,8 @@
 		return nil, errors.Wrapf(upstream.ErrConnect, "replica %s at %s: %v", c.Destination.ID, c.Destination.Address, err)
 	}
 	p.opened.Inc(1)
-	opened := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), idle: defaultIdle}
+	bounded := &boundedReader{Reader: raw}
+	opened := &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), idle: defaultIdle}
 	if s, ok := raw.(syscall.Conn); ok {
 		if opened.raw, err = s.SyscallConn(); err != nil {
 			opened.raw = nil // the connection is then reused without the check in usable
@@ -202,7 +214,7 @@
 			p.countClosed("idle_too_long")
 			continue
 		}
-		if (c.FreshConnection && age > maxFreshIdle) || last.lastID == c.Request.ID {
+		if (c.AtMostOnce && age > maxFreshIdle) || last.lastID == c.Request.ID {
 			break
 		}
 		t.idle = t.idle[:n-1]
@@ -302,6 +314,7 @@
 	message := requestBuffers.Get().(*[]byte)
 	*message = p.codec.AppendRequest((*message)[:0], call.Request, call.Destination.ID, remaining)
 	defer requestBuffers.Put(message)
+	first := c.lastID == ""
 	c.lastID = call.Request.ID
 	if err := c.SetDeadline(call.Deadline.Add(replyGrace)); err != nil {
 		return Reply{}, false, errors.Wrapf(upstream.ErrConnect, "replica %s: %v", call.Destination.ID, err)
@@ -317,13 +330,25 @@
 	if err != nil {
 		return Reply{}, false, p.exchangeError(call, err)
 	}
-	if reply.RequestID != call.Request.ID && (reply.RequestID != "" || !reply.NotRun) {
+	if !belongs(call, &reply, first) {
 		p.mismatched.Inc(1)
+		p.Release(reply.Held)
 		return Reply{}, false, errors.Wrapf(upstream.ErrMismatch, "replica %s answered request %q", call.Destination.ID, reply.RequestID)
 	}
 	return reply, keep, nil
 }
 
+// belongs reports whether a reply answers the request of the call, given whether that is
+// the first one on its connection. A refusal may lack the id. It may then be a late copy
+// that belongs to an earlier request of the connection, so that it proves nothing about a
+// request that must not run twice.
+func belongs(call Call, reply *Reply, first bool) bool {
+	if reply.RequestID != "" {
+		return reply.RequestID == call.Request.ID
+	}
+	return reply.NotRun && (first || !call.AtMostOnce)
+}
+
 // exchangeError counts a lost reply and returns its error.
 func (p *Pool) exchangeError(call Call, err error) error {
 	p.lost.Inc(1)
@@ -333,16 +358,22 @@
 		kind = upstream.ErrTimeout
 		p.countClosed("timeout")
 	}
+	if errors.Is(err, ErrTooLarge) {
+		p.countClosed("too_large")
+		return errors.Mark(errors.Wrapf(err, "replica %s", call.Destination.ID), kind)
+	}
 	return errors.Wrapf(kind, "replica %s: %v", call.Destination.ID, err)
 }
 
 // read reads one complete reply and reports whether the connection can be reused.
 func (p *Pool) read(c *conn, call Call) (Reply, bool, error) {
+	c.bounded.left = maxHeadBytes
 	response, err := readResponse(c.reader, call.Request.Method)
 	if err != nil {
 		return Reply{}, false, err
 	}
-	body, err := readBody(response)
+	c.bounded.left = framingFactor*p.memory.maxBody + maxHeadBytes
+	body, held, err := p.memory.readBody(response)
 	if err != nil {
 		return Reply{}, false, err
 	}
@@ -358,6 +389,7 @@
 	}
 	c.idle = keepAliveTime(response.Header.Get("Keep-Alive"))
 	reply := p.codec.ReadReply(response.StatusCode, response.Header, body)
+	reply.Held = held
 	if keep && reply.Leaving {
 		keep = p.countClosed("replica_leaves")
 	}
