daemon, query: write outcomes at a planned stop, reread a refused head, prune groups

Cause, each found by reading: a planned stop did not flush the journals, so that a resend of a request that had run could get may_have_run; the watch of the configuration went on after an object that the tracker had refused and never looked at it again; statistics of groups, one for each route, were kept for good.

Change: the stop flushes the machine and waits for its outcomes within the same bound, and logs how many are lost; the watch continues after the last accepted version and reads a refused one again every 5 s; groups are pruned as services.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -18,6 +18,8 @@
 const (
 	// watchRetry is the delay before a failed watch is repeated.
 	watchRetry = 200 * time.Millisecond
+	// refusedRetry is the delay before a refused configuration object is read again.
+	refusedRetry = 5 * time.Second
 	// readTimeout limits one read of an object from the platform.
 	readTimeout = 2 * time.Second
 	// pollInterval is the time between reads of the configuration object while
@@ -42,6 +44,8 @@
 	applyMu        sync.Mutex
 	appliedNumber  uint64
 
+	refusedRetry time.Duration
+
 	ctx  context.Context
 	wait *sync.WaitGroup // counts the running watches
 
@@ -52,7 +56,7 @@
 
 func newConfigurationRunner(ctx context.Context, wait *sync.WaitGroup, host string, store objectstore.Store, node *peer.Node) *configurationRunner {
 	r := &configurationRunner{
-		store: store, node: node, ctx: ctx, wait: wait,
+		store: store, node: node, ctx: ctx, wait: wait, refusedRetry: refusedRetry,
 		tracker:   configuration.NewTracker(configuration.TrackerConfig{Host: host}),
 		editor:    configuration.NewEditor(configuration.EditorConfig{}),
 		onInForce: func(*configuration.Active) {},
@@ -183,15 +187,17 @@
 }
 
 // watch passes each newer version of the configuration object to the tracker until
-// ctx ends.
+// ctx ends. It continues after the last version that the tracker accepted, so that a
+// refused one is looked at again.
 func (r *configurationRunner) watch(ctx context.Context, after uint64) {
 	klog.V(1).InfoS("Watching the configuration on the platform", "after", after)
 	for ctx.Err() == nil {
 		object, err := r.store.Watch(ctx, configuration.ObjectName, after)
 		switch {
-		case err == nil:
+		case err == nil && r.passToTracker(object):
 			after = object.Version
-			r.passToTracker(object)
+		case err == nil:
+			sleep(ctx, r.refusedRetry)
 		case errors.Is(err, objectstore.ErrTimeout):
 		default:
 			sleep(ctx, watchRetry)
@@ -200,8 +206,8 @@
 }
 
 // passToTracker passes the configuration object to the tracker after a read, a watch
-// or a write.
-func (r *configurationRunner) passToTracker(object objectstore.Object) {
+// or a write. It reports whether the tracker accepted it.
+func (r *configurationRunner) passToTracker(object objectstore.Object) bool {
 	var refused error
 	r.trackerStep.Step(func(now time.Time) []configuration.TrackerAction {
 		var actions []configuration.TrackerAction
@@ -211,6 +217,7 @@
 	if refused != nil {
 		klog.ErrorS(refused, "Configuration from platform rejected", "version", object.Version)
 	}
+	return refused == nil
 }
 
 // get reads an object from the platform within readTimeout.
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/objectstore"
@@ -44,3 +45,43 @@
 	default:
 	}
 }
+
+// refusedHeadStore has one configuration object, which the tracker refuses. It records
+// the version after which each watch asks for changes.
+type refusedHeadStore struct {
+	objectstore.Store
+	asked chan uint64
+}
+
+func (s refusedHeadStore) Watch(ctx context.Context, name string, after uint64) (objectstore.Object, error) {
+	select {
+	case s.asked <- after:
+	case <-ctx.Done():
+		return objectstore.Object{}, ctx.Err()
+	}
+	if after >= 5 {
+		<-ctx.Done()
+		return objectstore.Object{}, ctx.Err()
+	}
+	return objectstore.Object{Name: name, Version: 5, Value: []byte("no configuration")}, nil
+}
+
+// Guards against a watch that continues after an object that the tracker refused: the
+// object would not be looked at again until it changes.
+func TestRefusedConfigurationIsReadAgain(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	node := peer.NewNode(peer.Config{})
+	t.Cleanup(func() { _ = node.Close(context.Background()) })
+	var running sync.WaitGroup
+	store := refusedHeadStore{asked: make(chan uint64)}
+	r := newConfigurationRunner(ctx, &running, "host", store, node)
+	r.refusedRetry = time.Millisecond
+	r.setWatch(configuration.Watch{On: true})
+	for call := range 3 {
+		if after := <-store.asked; after != 0 {
+			t.Errorf("call %d asks for changes after version %d, which was refused", call, after)
+		}
+	}
+	cancel()
+	running.Wait()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -286,10 +286,12 @@
 	}
 }
 
-// release waits until pending submissions are answered, then releases this host's
-// shares.
+// release waits until pending submissions are answered and their outcomes written, then
+// releases this host's shares.
 func (d *Daemon) release() {
-	d.journal.flush(d.ctx)
+	if lost := d.journal.flush(d.ctx); lost > 0 {
+		klog.InfoS("Outcomes are not written: a resent request gets may_have_run", "host", d.settings.Host.ID, "outcomes", lost)
+	}
 	d.tables.release(d.ctx)
 }
 
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -186,21 +186,30 @@
 	return w.(*waitingCaller).ctx
 }
 
-// flush waits until every submission is answered. It does not wait for an outcome that is
-// written after the answer; without it in the journal, a resent request that is known to
-// have run is answered with may_have_run. The wait is bounded, so that a platform outage
-// does not delay a planned stop for long.
-func (r *journalRunner) flush(ctx context.Context) {
+// flush waits until every submission is answered and every outcome is in its journal.
+// Without its outcome, a resent request that is known to have run is answered with
+// may_have_run. The wait is bounded, so that a platform outage does not delay a planned
+// stop for long. It returns the number of outcomes that are lost.
+func (r *journalRunner) flush(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	for ctx.Err() == nil && r.inFlight() > 0 {
+	r.step.Step(r.machine.Flush)
+	for ctx.Err() == nil && r.inFlight()+r.unwritten() > 0 {
 		sleep(ctx, releasePollInterval)
 	}
+	return r.unwritten()
 }
 
-// flushTimeout limits the wait for answers at a planned stop.
+// flushTimeout limits the wait for answers and outcomes at a planned stop.
 const flushTimeout = 3 * time.Second
 
+// unwritten returns the number of outcomes that are not in their journals yet.
+func (r *journalRunner) unwritten() int {
+	n := 0
+	r.step.View(func(time.Time) { n = r.machine.UnwrittenOutcomes() })
+	return n
+}
+
 // inFlight returns the number of submissions that are not answered yet, including those
 // that were forwarded to another host.
 func (r *journalRunner) inFlight() int {
--- a/query/send.go
+++ b/query/send.go
@@ -54,7 +54,7 @@
 		m.setDue(t, m.hedgeAt(at, s))
 	}
 	rep.stats.begin(now)
-	s.stats.used = now
+	s.stats.used, s.groupStats.used = now, now
 	m.emit(Send{
 		Attempt: id, Group: m.groups[t.group].name, Service: s.name, Replica: rep.id, DataCentre: rep.dataCentre,
 		Snapshot: m.snapshot, Partition: t.hashRange, Deadline: m.start.Add(m.attemptDeadline), Hedge: hedge, Retry: retry,
--- a/query/stats.go
+++ b/query/stats.go
@@ -78,12 +78,14 @@
 	return &Stats{services: map[string]*serviceStats{}, groups: map[string]*serviceStats{}, replicas: map[string]*replicaStats{}}
 }
 
-// Prune removes services and replicas that were not used since the given time and
-// have no requests in flight. Call it after configuration changes.
+// Prune removes services, groups and replicas that were not used since the given time
+// and have no requests in flight. Call it after configuration changes.
 func (s *Stats) Prune(since time.Time) {
-	for name, v := range s.services {
-		if v.used.Before(since) {
-			delete(s.services, name)
+	for _, statistics := range []map[string]*serviceStats{s.services, s.groups} {
+		for name, v := range statistics {
+			if v.used.Before(since) {
+				delete(statistics, name)
+			}
 		}
 	}
 	for id, v := range s.replicas {
