soak: replicas that leave or pause in their answers, and replies without end

Three faults more: a replica that says only in its answers that it is leaving, one that refuses all requests and asks for a pause, and one that replies with header lines until the connection is closed. Checked from outside: what the replica still gets, and that no host ever took more than half of its memory.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,14 +18,14 @@
 	for step := 0; time.Now().Before(end); step++ {
 		duration := time.Duration(300+rng.IntN(1500)) * time.Millisecond
 		h := f.hosts[rng.IntN(len(f.hosts))]
-		kind := rng.IntN(9)
+		kind := rng.IntN(11)
 		choice := rng.Uint64()
 		if kind <= 2 { // at most one signal fault at a time for each process
 			if done := signalled[h]; done != nil {
 				select {
 				case <-done:
 				default:
-					kind = 3 + rng.IntN(6)
+					kind = 3 + rng.IntN(8)
 				}
 			}
 		}
@@ -65,11 +66,15 @@
 		time.Sleep(duration)
 		r.relay.switchTo(relayForward)
 	case 7:
-		r.behaviour.Store(int32(1 + choice%5))
+		r.behaviour.Store(int32(1 + choice%6))
 		time.Sleep(duration)
 		r.behaviour.Store(int32(serveNormally))
 	case 8:
 		f.replace(r, step)
+	case 9:
+		f.leaveInAnswers(r, step)
+	case 10:
+		f.pauseInAnswers(r, duration)
 	}
 }
 
@@ -163,20 +168,19 @@
 	return h.lastDisturbance.Add(settleTime).Before(at)
 }
 
+// exchangeReplica starts a new replica in place of an old one, which gets no more faults.
+func (f *fleet) exchangeReplica(old *replica, step int) {
+	f.mu.Lock()
+	f.replicas = slices.DeleteFunc(slices.Clone(f.replicas), func(r *replica) bool { return r == old })
+	f.mu.Unlock()
+	f.addReplica(old.service, fmt.Sprintf("i-new-%d", step))
+}
+
 // replace starts a new replica and drains the old one. The old replica must get no requests
 // after the drain time, provided that no fault of the store or of a host can have had an
 // effect since the registration as draining.
 func (f *fleet) replace(r *replica, step int) {
-	f.mu.Lock()
-	var remaining []*replica
-	for _, o := range f.replicas {
-		if o != r {
-			remaining = append(remaining, o)
-		}
-	}
-	f.replicas = remaining
-	f.mu.Unlock()
-	f.addReplica(r.service, fmt.Sprintf("i-new-%d", step))
+	f.exchangeReplica(r, step)
 	f.store.put("servers", r.id, r.registration("draining"))
 	acknowledged := time.Now()
 	time.Sleep(drainTime + 500*time.Millisecond)
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -23,6 +23,7 @@
 	loseReplies                // runs requests and closes the connection without a reply
 	duplicateReplies           // sends each reply twice
 	failRequests               // runs requests and replies with status 500
+	replyWithoutEnd            // runs requests and replies with header lines until the connection is closed
 )
 
 // runCounter counts how often each request ran on all replicas together.
@@ -74,6 +75,7 @@
 	runCounter  *runCounter
 	behaviour   atomic.Int32
 	arrivedAt   atomic.Int64 // Unix nanoseconds of the last request
+	signals     signals
 }
 
 func startReplica(t *testing.T, service, id string, counter *runCounter) *replica {
@@ -115,8 +117,11 @@
 		if text == "" {
 			return
 		}
-		if _, err := io.WriteString(c, text); err != nil {
-			return
+		for once := true; once || behaviour(r.behaviour.Load()) == replyWithoutEnd; once = false {
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+			text = "X-More: 1\r\n"
 		}
 	}
 }
@@ -128,9 +133,10 @@
 		return "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
 	}
 	r.arrivedAt.Store(time.Now().UnixNano())
+	signal, paused := r.signals.arrived(time.Now())
 	mode := behaviour(r.behaviour.Load())
-	if mode == shedRequests {
-		return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	if mode == shedRequests || paused {
+		return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id + "\r\n" + signal + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	if request.Method == http.MethodPost {
 		r.runCounter.add(id)
@@ -143,8 +149,11 @@
 	if mode == failRequests {
 		status = "500 Internal Server Error"
 	}
-	text := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Server-Stamp: %s/%s/%s\r\nContent-Length: 16\r\n\r\n%-16s", status, id, r.service, r.id, id, r.service)
+	head := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s", status, id, signal)
+	text := head + fmt.Sprintf("X-Server-Stamp: %s/%s/%s\r\nContent-Length: 16\r\n\r\n%-16s", r.service, r.id, id, r.service)
 	switch mode {
+	case replyWithoutEnd:
+		return head
 	case loseReplies:
 		return ""
 	case duplicateReplies:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,6 +42,8 @@
 	// settleTime is how long the effects of a fault may last after it has ended. It
 	// equals the setting contact_ms of the hosts.
 	settleTime = 4 * time.Second
+	// hostMemoryMB is the memory limit of a host.
+	hostMemoryMB = 200
 )
 
 // tierSize is the size of a tier of hosts and of the replicas behind it.
@@ -56,8 +59,8 @@
 
 // TestSoak checks the guarantees to callers and replicas under consecutive and overlapping
 // faults: complete and correct responses, at most one run of a non-idempotent request, no run
-// of a request that was reported as not run, planned stops that abort no request, and no
-// requests to a replica that has drained.
+// of a request that was reported as not run, planned stops that abort no request, no requests
+// to a replica that has drained or said that it is leaving or paused, and a bounded memory.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "marigoldleverd")
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marigoldleverd").CombinedOutput(); err != nil {
@@ -94,6 +97,7 @@
 	store          *store
 	hosts          []*host
 	counter        *runCounter
+	starts         atomic.Int64 // of host processes
 	stop           chan struct{}
 	faultMu        sync.Mutex
 	lastStoreFault time.Time // end of the last store fault
@@ -126,7 +130,7 @@
 		f.awaitReady(h)
 	}
 	var callers sync.WaitGroup
-	for i := range 6 {
+	for i := range concurrentCallers {
 		callers.Go(func() { f.sendRequests(rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
 	f.injectFaults(rand.New(rand.NewPCG(seed, 1000)))
@@ -175,7 +179,7 @@
 	internal := []int{freePort(f.t), freePort(f.t)}
 	slices.Sort(internal)
 	data, err := json.Marshal(map[string]any{
-		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": 200, "cpu_share": cores},
+		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": hostMemoryMB, "cpu_share": cores},
 		"listen":   map[string]string{"front": h.caller, "readiness": h.readiness},
 		"bounds":   map[string]any{"drain_ms": 3000, "contact_ms": 4000, "grace_s": 6, "config_apply_ms": 3000, "evacuation_ms": 5000, "retry_budget_ratio": 0.2, "retry_budget_slack": 50, "budget_window_s": 10, "cold_slack": 5},
 		"platform": map[string]string{"address": h.storeRelay.address()},
@@ -214,6 +218,7 @@
 func (f *fleet) start(h *host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	f.starts.Add(1)
 	h.command = exec.Command(f.binary, "-entry")
 	h.command.Env = append(os.Environ(), "MARIGOLDLEVER_BOOT="+h.settings)
 	h.command.Stdout, h.command.Stderr = &h.output, &h.output
@@ -368,6 +373,9 @@
 		}
 	}
 	f.counter.checkSpread(f.t)
+	for _, h := range f.hosts {
+		f.checkMemory(h)
+	}
 	const minimumAnswers = 50
 	if f.answered < minimumAnswers {
 		f.t.Errorf("got %d responses, want at least %d", f.answered, minimumAnswers)
