--- a/watchers/list.go
+++ b/watchers/list.go
@@ -31,21 +31,23 @@
 // Object is one object of a list, as the store returned it.
 type Object = follow.Item[json.RawMessage]
 
-// errRevisionTooOld reports that another host asked for changes before the oldest kept
-// one.
-var errRevisionTooOld = errors.New("revision is older than the kept changes")
+// errRevisionTooOld reports that another host asked for changes after a revision for which
+// not all are kept.
+var errRevisionTooOld = errors.New("not all changes after the revision are kept")
 
 // list holds the recent changes of one list of the store, to pass them on. Whole lists
 // are not passed on: the store's link and processor can serve them to many hosts that
 // start together, those of a small host can't.
 //
-// Invariant: batches hold every change after oldest, up to revision, in order.
+// Invariants: batches hold every change after oldest, up to revision, in order, but for
+// collapsed ones; known holds the names and revisions of all objects at revision.
 type list struct {
 	mu       sync.Mutex
 	listed   bool
 	batches  []batch
 	oldest   uint64
 	revision uint64
+	known    map[string]uint64
 
 	lastAnswer   time.Time     // when the store last answered this host; zero if never
 	failingSince time.Time     // when calls to the store began to fail, here or at a watcher; zero if the last one was answered
@@ -57,33 +59,83 @@
 type batch struct {
 	revision uint64
 	objects  []Object
+	// collapsed is set if the batch only leads from the state at the revision after to
+	// that at revision: an object that came and went in between is not in it. It is of no
+	// use to a host that knows a revision in between.
+	collapsed bool
+	after     uint64
 }
 
-func newList() *list { return &list{changed: make(chan struct{})} }
+func newList() *list { return &list{changed: make(chan struct{}), known: map[string]uint64{}} }
 
-// replace records that this host has read a whole list of a revision.
-func (l *list) replace(revision uint64) {
+// replace records that this host has read a whole list. If it had read one before, the
+// difference is passed on like a change, so that the other hosts need not read the whole
+// list when the store has lost its history.
+func (l *list) replace(a follow.Response[json.RawMessage]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.listed && a.Revision >= l.revision {
+		l.append(batch{revision: a.Revision, objects: l.difference(a.Items), collapsed: true, after: l.revision})
+	} else {
+		l.batches, l.oldest = nil, a.Revision
+	}
 	l.listed = true
-	l.batches, l.oldest, l.revision = nil, revision, revision
+	l.revision = a.Revision
+	clear(l.known)
+	l.learn(a.Items)
 	l.notify()
 }
 
-// apply adds the changes of a response.
-func (l *list) apply(a follow.Response[json.RawMessage]) {
+// difference returns the changes that lead from the known objects to a whole list.
+func (l *list) difference(items []Object) []Object {
+	var changes []Object
+	listed := make(map[string]bool, len(items))
+	for _, o := range items {
+		listed[o.Name] = true
+		if revision, ok := l.known[o.Name]; !ok || revision != o.Revision {
+			changes = append(changes, o)
+		}
+	}
+	for name := range l.known {
+		if !listed[name] {
+			changes = append(changes, Object{Name: name, Removed: true})
+		}
+	}
+	return changes
+}
+
+// learn applies changes to the known objects.
+func (l *list) learn(items []Object) {
+	for _, o := range items {
+		if o.Removed {
+			delete(l.known, o.Name)
+		} else {
+			l.known[o.Name] = o.Revision
+		}
+	}
+}
+
+// apply adds the changes of a response that came after a revision. collapsed states
+// whether they are collapsed.
+func (l *list) apply(a follow.Response[json.RawMessage], after uint64, collapsed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.revision = max(l.revision, a.Revision)
-	if len(a.Items) == 0 {
+	if len(a.Items) == 0 && !collapsed {
 		return
 	}
+	l.learn(a.Items)
+	l.append(batch{revision: l.revision, objects: a.Items, collapsed: collapsed, after: after})
+	l.notify()
+}
+
+// append adds a batch and drops the oldest one if there are too many.
+func (l *list) append(b batch) {
 	if len(l.batches) == maxBatches {
 		l.oldest = l.batches[0].revision
 		l.batches = slices.Delete(l.batches, 0, 1)
 	}
-	l.batches = append(l.batches, batch{l.revision, a.Items})
-	l.notify()
+	l.batches = append(l.batches, b)
 }
 
 func (l *list) notify() {
@@ -129,6 +181,7 @@
 	unavailableFor time.Duration // since calls to the store fail; set with errStoreUnavailable
 	listed         bool          // whether this host has read the list
 	hasChanges     bool          // whether the response holds changes
+	collapsed      bool          // whether some of them are collapsed
 	changed        <-chan struct{}
 }
 
@@ -152,10 +205,15 @@
 		return s, errors.Wrapf(errRevisionTooOld, "revision %d, kept since %d", from, l.oldest)
 	}
 	for _, b := range l.batches {
-		if b.revision > from {
-			s.response.Items = append(s.response.Items, b.objects...)
-			s.hasChanges = true
+		if b.revision <= from {
+			continue
+		}
+		if b.collapsed && from > b.after {
+			return s, errors.Wrapf(errRevisionTooOld, "revision %d, between lists of %d and %d", from, b.after, b.revision)
 		}
+		s.response.Items = append(s.response.Items, b.objects...)
+		s.hasChanges = true
+		s.collapsed = s.collapsed || b.collapsed
 	}
 	return s, nil
 }
--- a/watchers/list_test.go
+++ b/watchers/list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -23,10 +24,10 @@
 func TestListReturnsChangesAfterRevision(t *testing.T) {
 	l := newList()
 	l.recordCall(t0, true)
-	l.replace(10)
-	l.apply(response{Items: []Object{object("c", 12)}, Revision: 12})
-	l.apply(response{Revision: 14})
-	l.apply(response{Items: []Object{{Name: "a", Revision: 15, Removed: true}, object("b", 16)}, Revision: 16})
+	l.replace(response{Revision: 10})
+	l.apply(response{Items: []Object{object("c", 12)}, Revision: 12}, l.revision, false)
+	l.apply(response{Revision: 14}, l.revision, false)
+	l.apply(response{Items: []Object{{Name: "a", Revision: 15, Removed: true}, object("b", 16)}, Revision: 16}, l.revision, false)
 	for from, want := range map[uint64]string{10: "c12 a15 b16", 11: "c12 a15 b16", 12: "a15 b16", 14: "a15 b16", 16: "", 20: ""} {
 		s, err := l.changesAfter(t0, from, time.Second)
 		got := ""
@@ -50,9 +51,9 @@
 func TestHistoryIsBounded(t *testing.T) {
 	l := newList()
 	l.recordCall(t0, true)
-	l.replace(0)
+	l.replace(response{Revision: 0})
 	for i := range uint64(maxBatches + 10) {
-		l.apply(response{Items: []Object{object("a", i+1)}, Revision: i + 1})
+		l.apply(response{Items: []Object{object("a", i+1)}, Revision: i + 1}, l.revision, false)
 	}
 	if len(l.batches) != maxBatches || l.oldest != 10 {
 		t.Errorf("%d batches are kept since revision %d", len(l.batches), l.oldest)
@@ -70,7 +71,7 @@
 // the store.
 func TestStaleListIsNotPassedOn(t *testing.T) {
 	l := newList()
-	l.replace(1)
+	l.replace(response{Revision: 1})
 	if _, err := l.changesAfter(time.Now(), 1, time.Second); !errors.Is(err, errStale) {
 		t.Errorf("list without an answer from the store: %v, want errStale", err)
 	}
@@ -91,7 +92,7 @@
 	l := newList()
 	time.AfterFunc(50*time.Millisecond, func() {
 		l.recordCall(time.Now(), true)
-		l.replace(1)
+		l.replace(response{Revision: 1})
 	})
 	if s, err := l.waitForChanges(context.Background(), 0, time.Second, time.Second); !errors.Is(err, errRevisionTooOld) || !s.listed {
 		t.Errorf("answer is %+v, %v", s.response, err)
@@ -104,7 +105,7 @@
 // Guards against outages of the store that a watcher does not report to its callers.
 func TestOutageIsReported(t *testing.T) {
 	l := newList()
-	l.replace(1)
+	l.replace(response{Revision: 1})
 	l.recordCall(t0, true)
 	if s, _ := l.changesAfter(t0, 1, time.Minute); s.recovered >= 0 {
 		t.Errorf("recovered %v ago without an outage", s.recovered)
@@ -116,3 +117,82 @@
 		t.Errorf("recovered %v ago, age %v, want 2 s and 1 s", s.recovered, s.age)
 	}
 }
+
+// hostState is what a host knows of a list: the revisions of its objects.
+type hostState map[string]uint64
+
+func (h hostState) apply(items []Object) {
+	for _, o := range items {
+		if o.Removed {
+			delete(h, o.Name)
+		} else {
+			h[o.Name] = o.Revision
+		}
+	}
+}
+
+// Guards against hosts that have to read a whole list because their watcher read one, and
+// against a difference that does not lead to the list.
+func TestWholeListIsPassedOnAsDifference(t *testing.T) {
+	l := newList()
+	l.recordCall(t0, true)
+	l.replace(response{Items: []Object{object("a", 3), object("b", 4), object("c", 5)}, Revision: 10})
+	l.apply(response{Items: []Object{object("d", 12)}, Revision: 12}, 10, false)
+	l.replace(response{Items: []Object{object("b", 4), object("c", 15), object("e", 16)}, Revision: 20})
+	l.apply(response{Items: []Object{object("f", 21)}, Revision: 21}, 20, false)
+	want := hostState{"b": 4, "c": 15, "e": 16, "f": 21}
+	for from, known := range map[uint64]hostState{
+		10: {"a": 3, "b": 4, "c": 5}, 12: {"a": 3, "b": 4, "c": 5, "d": 12}, 20: {"b": 4, "c": 15, "e": 16},
+	} {
+		s, err := l.changesAfter(t0, from, time.Second)
+		if err != nil || s.response.Revision != 21 || s.collapsed != (from < 20) {
+			t.Fatalf("from %d: %+v, %v", from, s, err)
+		}
+		known.apply(s.response.Items)
+		if !maps.Equal(known, want) {
+			t.Errorf("from %d: the host knows %v, want %v", from, known, want)
+		}
+	}
+}
+
+// Guards against a difference for a host that knows more than its watcher did before it
+// read the list: an object that came and went in between would stay known.
+func TestDifferenceIsRefusedInBetween(t *testing.T) {
+	for _, items := range [][]Object{{object("a", 3)}, {object("a", 3), object("c", 18)}} {
+		l := newList()
+		l.recordCall(t0, true)
+		l.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
+		l.replace(response{Items: items, Revision: 20})
+		for _, from := range []uint64{11, 15, 19} {
+			if s, err := l.changesAfter(t0, from, time.Second); !errors.Is(err, errRevisionTooOld) {
+				t.Errorf("from %d: %+v, %v, want errRevisionTooOld", from, s, err)
+			}
+		}
+		// A host that got the difference and now serves others must refuse them as well.
+		other := newList()
+		other.recordCall(t0, true)
+		other.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
+		s, err := l.changesAfter(t0, 10, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other.apply(s.response, 10, s.collapsed)
+		if s, err := other.changesAfter(t0, 15, time.Second); !errors.Is(err, errRevisionTooOld) {
+			t.Errorf("a host that got the difference answers %+v, %v, want errRevisionTooOld", s, err)
+		}
+	}
+}
+
+// Guards against a list that is older than the copy and is passed on as a difference.
+func TestOlderListEndsHistory(t *testing.T) {
+	l := newList()
+	l.recordCall(t0, true)
+	l.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
+	l.replace(response{Items: []Object{object("b", 2)}, Revision: 8})
+	if _, err := l.changesAfter(t0, 7, time.Second); !errors.Is(err, errRevisionTooOld) {
+		t.Errorf("error is %v, want errRevisionTooOld", err)
+	}
+	if s, err := l.changesAfter(t0, 8, time.Second); err != nil || s.hasChanges {
+		t.Errorf("state is %+v, %v, want no changes", s, err)
+	}
+}
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -67,7 +67,10 @@
 	// the other fields are not.
 	UnavailableMS int64    `json:"away_ms,omitempty"`
 	Objects       []Object `json:"objects,omitempty"`
-	Revision      uint64   `json:"revision"`
+	// Collapsed is set if the objects are not all changes since the request's revision,
+	// but only lead from the state then to that at Revision.
+	Collapsed bool   `json:"collapsed,omitempty"`
+	Revision  uint64 `json:"revision"`
 	// RecoveredMS is the time since the watcher reached the store again after a
 	// failure, negative if it never failed.
 	RecoveredMS int64 `json:"regained_ms"`
@@ -140,7 +143,7 @@
 	case err != nil:
 		return nil, err
 	}
-	return changesReply{Objects: s.response.Items, Revision: s.response.Revision, RecoveredMS: s.recovered.Milliseconds()}, nil
+	return changesReply{Objects: s.response.Items, Collapsed: s.collapsed, Revision: s.response.Revision, RecoveredMS: s.recovered.Milliseconds()}, nil
 }
 
 // Source follows one list of the store, through a watcher if one is available.
@@ -179,7 +182,7 @@
 	}
 	s.listed = true
 	_, answer.Pause = s.relay.pollTimes()
-	s.list.replace(answer.Revision)
+	s.list.replace(answer)
 	return answer, nil
 }
 
@@ -187,9 +190,9 @@
 func (s *Source) Watch(ctx context.Context, from uint64) (follow.Response[json.RawMessage], error) {
 	watcher, target := s.relay.next()
 	if target == TargetWatcher {
-		answer, err := s.askWatcher(ctx, watcher, from)
+		answer, collapsed, err := s.askWatcher(ctx, watcher, from)
 		if err == nil {
-			s.list.apply(answer)
+			s.list.apply(answer, from, collapsed)
 			return answer, nil
 		}
 		if errors.Is(err, errStoreUnavailable) || ctx.Err() != nil {
@@ -209,7 +212,7 @@
 		return answer, err
 	}
 	answer.Pause = batchDelay
-	s.list.apply(answer)
+	s.list.apply(answer, from, false)
 	return answer, nil
 }
 
@@ -247,8 +250,8 @@
 	return rl.cfg.DirectPollTimeout, rl.cfg.DirectBatchDelay
 }
 
-// askWatcher calls a watcher for changes.
-func (s *Source) askWatcher(ctx context.Context, watcher Host, from uint64) (follow.Response[json.RawMessage], error) {
+// askWatcher calls a watcher for changes, and reports whether they are collapsed.
+func (s *Source) askWatcher(ctx context.Context, watcher Host, from uint64) (_ follow.Response[json.RawMessage], collapsed bool, _ error) {
 	rl := s.relay
 	ctx, cancel := context.WithTimeout(ctx, rl.cfg.PollTimeout+rl.cfg.ReplyGrace)
 	defer cancel()
@@ -275,18 +278,18 @@
 		klog.InfoS("Watcher does not answer", "list", s.name, "watcher", watcher.ID, "from", from, "err", err)
 	}
 	if err != nil {
-		return follow.Response[json.RawMessage]{}, err
+		return follow.Response[json.RawMessage]{}, false, err
 	}
 	if r.UnavailableMS > 0 {
-		return follow.Response[json.RawMessage]{}, s.storeUnavailable(now, watcher, time.Duration(r.UnavailableMS)*time.Millisecond)
+		return follow.Response[json.RawMessage]{}, false, s.storeUnavailable(now, watcher, time.Duration(r.UnavailableMS)*time.Millisecond)
 	}
 	before := s.answered
 	s.answered = now
 	if recovered := now.Add(-time.Duration(r.RecoveredMS) * time.Millisecond); r.RecoveredMS >= 0 && !before.IsZero() && recovered.After(before) {
 		s.list.setRecovered(recovered)
-		return follow.Response[json.RawMessage]{}, errors.Wrapf(errStoreUnavailable, "watcher %s reached the store again %d ms ago", watcher.ID, r.RecoveredMS)
+		return follow.Response[json.RawMessage]{}, false, errors.Wrapf(errStoreUnavailable, "watcher %s reached the store again %d ms ago", watcher.ID, r.RecoveredMS)
 	}
-	return follow.Response[json.RawMessage]{Items: r.Objects, Revision: r.Revision}, nil
+	return follow.Response[json.RawMessage]{Items: r.Objects, Revision: r.Revision}, r.Collapsed, nil
 }
 
 // storeUnavailable handles a watcher's report that the store does not answer it, which
--- a/watchers/watchers_test.go
+++ b/watchers/watchers_test.go
@@ -33,6 +33,7 @@
 	revision    uint64
 	changed     chan struct{}
 	unavailable bool // for all hosts
+	compacted   uint64
 }
 
 func newStore() *storeStandIn { return &storeStandIn{revision: 1, changed: make(chan struct{})} }
@@ -47,6 +48,16 @@
 	s.changed = make(chan struct{})
 }
 
+// compact drops the history up to now, and ends the pending watches.
+func (s *storeStandIn) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.compacted = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *storeStandIn) setUnavailable(unavailable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,6 +93,13 @@
 	return v.calls
 }
 
+// lists returns the number of List calls.
+func (v *hostStore) lists() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.stale)
+}
+
 func (v *hostStore) setFailing() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -111,6 +129,7 @@
 	for {
 		v.storeStandIn.mu.Lock()
 		a, unavailable, changed := response{Revision: v.revision}, v.unavailable, v.changed
+		lost := from < v.compacted
 		for _, o := range v.objects {
 			if o.Revision > from {
 				a.Items = append(a.Items, o)
@@ -120,6 +139,9 @@
 		if unavailable {
 			return response{}, errNoAnswer
 		}
+		if lost {
+			return response{}, errors.Wrapf(follow.ErrCompacted, "revision %d", from)
+		}
 		if len(a.Items) > 0 {
 			return a, nil
 		}
@@ -261,6 +283,32 @@
 	}
 }
 
+// Guards against hosts that all read whole lists because the store has lost its history:
+// their watcher reads them and passes on the difference.
+func TestLostHistoryCostsHostsNoList(t *testing.T) {
+	s, members := startHosts(t, 8)
+	s.put(Object{Name: "before"})
+	await(t, members, "before")
+	var calls, lists []int
+	for _, m := range members {
+		calls, lists = append(calls, m.hostStore.count()), append(lists, m.hostStore.lists())
+	}
+	for i := range 5 {
+		s.compact()
+		name := fmt.Sprint("after-", i)
+		s.put(Object{Name: name})
+		await(t, members, name)
+	}
+	if n := members[0].hostStore.lists() - lists[0]; n == 0 {
+		t.Error("the watcher read no list, so the history was not lost")
+	}
+	for i, m := range members[1:] {
+		if n := m.hostStore.lists() - lists[i+1]; n != 0 {
+			t.Errorf("%s read %d lists and made %d calls", m.ID, n, m.hostStore.count()-calls[i+1])
+		}
+	}
+}
+
 // Guards against a data centre that gets no more changes when its watcher stops.
 func TestWatcherStops(t *testing.T) {
 	s, members := startHosts(t, 8)
