entry: wait for the changes that the first, stale lists lack

Cause: a host that started read its first lists with allow_stale, counted as ready at once, and watched for the changes since then only after its batch delay of up to a second: a replica that had left, or a route that was dropped, was in use again for that long.

Change: the first watch follows the stale list at once, and the host serves 100 ms after its first lists, in which the store or a watcher answers a watch that has changes. No call more than before is needed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/marigoldlever/marigoldlever/platform"
 	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/routing"
+	"github.com/marigoldlever/marigoldlever/watchers"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -340,3 +342,43 @@
 		t.Errorf("%d requests reached the address of another replica, want 1 at most", n)
 	}
 }
+
+// outdatedList is a list whose first copy is out of date, as a stale one may be. The
+// changes since then follow with the first watch, after the time that a call takes.
+type outdatedList struct {
+	*storeList[replicas.Replica]
+	first follow.Response[replicas.Replica]
+}
+
+func (l outdatedList) List(context.Context) (follow.Response[replicas.Replica], error) {
+	return l.first, nil
+}
+
+func (l outdatedList) Watch(ctx context.Context, from uint64) (follow.Response[replicas.Replica], error) {
+	time.Sleep(40 * time.Millisecond)
+	return l.storeList.Watch(ctx, from)
+}
+
+// Guards against work for a replica that left before this host started, while the host
+// knows only a list that is out of date.
+func TestStartedHostWaitsForChangesSinceStaleList(t *testing.T) {
+	for range 5 {
+		tr := newTier(t, 1)
+		gone := tr.addReplica(t, "shard-000", "replica-gone")
+		first, err := tr.registry.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr.registry.put(follow.Item[replicas.Replica]{Name: gone.id, Removed: true})
+		tr.replicas = outdatedList{tr.registry, first}
+		tr.run(t, watchers.Host{ID: "host", DataCentre: "dc"}, make(hostList, 1))
+		for range 20 {
+			if g := tr.mustAsk(t, "GET", "/one/x", ""); g.status != http.StatusOK {
+				t.Fatalf("answer is %d %q", g.status, g.body)
+			}
+		}
+		if n := gone.requests.Load(); n != 0 {
+			t.Errorf("the replica that had left got %d requests", n)
+		}
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -54,7 +54,7 @@
 		return
 	}
 	table := e.view.table.Load()
-	if table == nil || !e.view.complete() {
+	if table == nil || !e.view.complete(out.started) {
 		e.refuse(w, out, http.StatusServiceUnavailable, notReadyRetry, "this host has no configuration yet")
 		return
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -130,6 +130,7 @@
 	address, readiness string
 	configuration      *storeList[*routing.Table]
 	registry           *storeList[replicas.Replica]
+	replicas           follow.Source[replicas.Replica] // the registry unless a test changes it
 	dataCentresOut     *storeList[struct{}]
 	shards             []*shard
 	metrics            metrics.Registry
@@ -168,6 +169,9 @@
 func (tr *tier) run(t testing.TB, self watchers.Host, list hostList) {
 	t.Helper()
 	tr.address, tr.readiness = freeAddress(t), freeAddress(t)
+	if tr.replicas == nil {
+		tr.replicas = tr.registry
+	}
 	tr.stop, tr.stopped = make(chan struct{}), make(chan int, 1)
 	tr.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 5 * time.Second}
 	tr.metrics = metrics.NewRegistry()
@@ -188,7 +192,7 @@
 	}
 	go func() {
 		aborted, err := e.Run(context.Background(), tr.stop, entry.Sources{
-			Configuration: tr.configuration, Replicas: tr.registry, DataCentresOut: tr.dataCentresOut, Hosts: list, OnHosts: ignoreHosts,
+			Configuration: tr.configuration, Replicas: tr.replicas, DataCentresOut: tr.dataCentresOut, Hosts: list, OnHosts: ignoreHosts,
 		})
 		if err != nil {
 			t.Error(err)
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -50,7 +50,7 @@
 	}
 	e := o.entry
 	table := e.view.table.Load()
-	if table == nil || !e.view.complete() || table.Version != call.Version {
+	if table == nil || !e.view.complete(started) || table.Version != call.Version {
 		return gatherReply{Refused: "another configuration is in force"}, nil
 	}
 	request := exchange.Request{ID: call.ID, Method: call.Method, Target: call.Target, Host: call.Host, Header: call.Header, Body: call.Body}
--- a/internal/entry/pages.go
+++ b/internal/entry/pages.go
@@ -34,7 +34,7 @@
 	if ready, reason := e.lifecycle.Ready(); !ready {
 		return false, reason
 	}
-	if !e.view.complete() {
+	if !e.view.complete(now) {
 		return false, "the replicas are not known yet"
 	}
 	if e.isolated(now) {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -35,8 +35,15 @@
 	paused         metrics.Counter // pauses that replicas asked for
 	replicasListed bool            // whether the replicas were listed once
 	outListed      bool            // whether the data centres that are out were listed once
+	// caughtUpAt is when the first lists, which may be out of date, can be relied on.
+	caughtUpAt time.Time
 }
 
+// catchUpTime is how long after its first lists a host waits for the changes that they
+// lack. The store, or a watcher, returns those at once. Without the wait, a host that has
+// just started could use a replica that had left before.
+const catchUpTime = 100 * time.Millisecond
+
 func newView(registry metrics.Registry) *view {
 	return &view{
 		onTable:        func(*routing.Table) {},
@@ -49,12 +56,16 @@
 }
 
 // complete reports whether this host knows enough to serve.
-func (v *view) complete() bool {
+func (v *view) complete(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table.Load() != nil && v.replicasListed && v.outListed
+	return v.table.Load() != nil && v.replicasListed && v.outListed && !now.Before(v.caughtUpAt)
 }
 
+// firstListed records that one of the lists was read for the first time. The caller holds
+// mu.
+func (v *view) firstListed(now time.Time) { v.caughtUpAt = now.Add(catchUpTime) }
+
 // services returns the query services with their usable replicas in allowed data
 // centres, and the incarnations of these replicas. The hash space is divided equally
 // among the names, so that each counts the same towards coverage. For each service whose
@@ -206,6 +217,11 @@
 }
 
 func (s tableSink) Replace(now time.Time, items []follow.Item[*routing.Table], revision uint64) {
+	if s.view.table.Load() == nil {
+		s.view.mu.Lock()
+		s.view.firstListed(now)
+		s.view.mu.Unlock()
+	}
 	s.Apply(now, items, revision)
 }
 
@@ -256,7 +272,10 @@
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
 	s.view.registry.Replace(now, list)
-	s.view.replicasListed = true
+	if !s.view.replicasListed {
+		s.view.replicasListed = true
+		s.view.firstListed(now)
+	}
 	klog.InfoS("Replicas listed", "replicas", len(list), "revision", revision)
 }
 
@@ -284,7 +303,10 @@
 func (s outSink) Replace(now time.Time, items []follow.Item[struct{}], revision uint64) {
 	s.view.mu.Lock()
 	s.view.dataCentresOut = make(map[string]bool)
-	s.view.outListed = true
+	if !s.view.outListed {
+		s.view.outListed = true
+		s.view.firstListed(now)
+	}
 	s.view.mu.Unlock()
 	s.Apply(now, items, revision)
 }
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -176,12 +176,15 @@
 	if _, target := s.relay.next(); target == TargetNone {
 		return follow.Response[json.RawMessage]{}, s.noTarget()
 	}
-	answer, err := s.store.List(ctx, !s.listed)
+	stale := !s.listed
+	answer, err := s.store.List(ctx, stale)
 	if err := s.recordCall(ctx, err); err != nil {
 		return answer, err
 	}
 	s.listed = true
-	_, answer.Pause = s.relay.pollTimes()
+	if !stale { // the changes that a stale list lacks are asked for at once
+		_, answer.Pause = s.relay.pollTimes()
+	}
 	s.list.replace(answer)
 	return answer, nil
 }
