entry: join with a stale host list that has this host on it

Change: it reads a stale list, a tenth of the price, and the full one only if it is not on the stale one, which is then older than its registration.

--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -67,7 +67,10 @@
 			return
 		}
 		wait.For(ctx, joinDelay)
-		read(false)
+		// A list with this host on it is no older than its registration, which is enough.
+		if read(true); !listed {
+			read(false)
+		}
 	}
 	onJoined()
 	for i := 0; wait.For(ctx, hostListIntervals[min(i, len(hostListIntervals)-1)]); i++ {
