--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,11 +49,23 @@
 	// held.
 	replyShare   = 1.0 / 32
 	repliesShare = 1.0 / 8
-	// gcPercent lets the heap grow to twice its live size: more frequent collection
-	// delays answers on a fifth of a core, and a larger heap only costs memory.
-	gcPercent = 100
+	// gcPercent lets the heap grow to twice its live size: a larger heap only costs memory
+	// on most hosts. The few hosts from strongCores on handle the large requests of all
+	// others, whose answers more frequent collection would delay.
+	gcPercent       = 100
+	strongGCPercent = 300
+	strongCores     = 0.5
 )
 
+// collectorPercent returns by how many percent the heap of a host may grow beyond its
+// live size before it is collected.
+func collectorPercent(cores float64) int {
+	if cores >= strongCores {
+		return strongGCPercent
+	}
+	return gcPercent
+}
+
 // followConfig sets the backoff after failed calls to the store.
 var followConfig = follow.Config{InitialBackoff: 50 * time.Millisecond, MaxBackoff: 800 * time.Millisecond}
 
@@ -125,7 +137,7 @@
 	defer cancel()
 	if e.settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(e.settings.MemoryMB) * megabyte))
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(collectorPercent(e.settings.Cores))
 	}
 	servers, err := e.listen()
 	if err != nil {
