--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -114,7 +114,7 @@
 	}
 	available := e.availability(time.Now(), route, names)
 	if resumes := available.resumesIn(); resumes > 0 {
-		e.refuse(w, out, http.StatusServiceUnavailable, resumes, pausedRefusal)
+		e.refuse(w, out, http.StatusServiceUnavailable, resumes, pausedRefusal+"; the request has not run")
 		return
 	}
 	if !available.enoughReachable() {
@@ -150,7 +150,7 @@
 }
 
 // pausedRefusal is the text of a refusal because of pauses that replicas asked for.
-const pausedRefusal = "too few replicas take requests at the moment; the request has not run"
+const pausedRefusal = "too few replicas take requests at the moment"
 
 // execute sends a request to replicas of the services until it has an answer. Both
 // durations count from now.
@@ -246,6 +246,7 @@
 	if len(lacking) == 0 {
 		return usual
 	}
+	// The minimum share of the lacking services stands for those that were needed.
 	available := e.availability(time.Now(), route, lacking)
 	return max(usual, available.resumesIn())
 }
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -69,7 +69,7 @@
 	lapsedGrace time.Duration
 	entries     map[string]*entry
 	services    map[string][]*entry
-	runs        map[Incarnation]*run
+	runs        map[Incarnation]*run // of all entries, and of those that were dropped lately
 	out         map[string]bool // data centres whose replicas get no new work
 	available   bool
 	changedAt   time.Time // when available last changed
