--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -70,7 +70,7 @@
 	entries     map[string]*entry
 	services    map[string][]*entry
 	runs        map[Incarnation]*run // of all entries, and of those that were dropped lately
-	out         map[string]bool // data centres whose replicas get no new work
+	out         map[string]bool      // data centres whose replicas get no new work
 	available   bool
 	changedAt   time.Time // when available last changed
 }
