watchers: rank by hash again, 40 hosts for each watcher

Change: the rank and the number of watchers are those of before. What a lost history costs stays with the watchers alone.

--- a/watchers/chooser.go
+++ b/watchers/chooser.go
@@ -19,9 +19,10 @@
 }
 
 const (
-	// maxHostsPerWatcher limits the hosts served by one watcher. The next host in rank
-	// replaces a watcher that does not answer.
-	maxHostsPerWatcher = 100
+	// maxHostsPerWatcher limits the hosts served by one watcher: with a hundred, a small
+	// host was fully occupied with passing on lists when it was the watcher. The next
+	// host in rank replaces a watcher that does not answer.
+	maxHostsPerWatcher = 40
 	// minRelayHosts is the size of a data centre from which on its hosts use watchers:
 	// with fewer hosts, hardly any calls to the store are saved.
 	minRelayHosts = 6
@@ -51,8 +52,8 @@
 )
 
 // Chooser decides where a host reads the lists of the store. All hosts of a data centre
-// rank its hosts in the same order, those with more processor time first; the first
-// reachable ones are the watchers. It is not safe for concurrent use.
+// rank its hosts in the same order; the first reachable ones are the watchers. It is
+// not safe for concurrent use.
 type Chooser struct {
 	self         Host
 	ranked       []Host // hosts of this data centre that accept calls, including this one
@@ -81,7 +82,7 @@
 		}
 	}
 	slices.SortFunc(c.ranked, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 }
 
--- a/watchers/chooser_test.go
+++ b/watchers/chooser_test.go
@@ -31,7 +31,7 @@
 // that is not a watcher or is in another data centre, and against a watcher that serves
 // too many hosts.
 func TestOnlyWatchersReadFromTheStore(t *testing.T) {
-	for each, want := range map[int]int{20: 1, 100: 1, 101: 2, 250: 3} {
+	for each, want := range map[int]int{20: 1, 40: 1, 41: 2, 100: 3} {
 		hosts := testHosts(3, each)
 		all := choosers(hosts)
 		asking, served := map[string]int{}, map[string]int{}
