peer: a test waits for the free slot that it needs

The one slot for handlers was still taken by the call before, whose answer leaves before its slot is free, so that the slow call was refused and never started.

Change: the slow call is repeated while it is refused, which says that it has not run. What the test checks is the same.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -227,7 +227,14 @@
 		t.Errorf("result above the size limit: %v, want a RemoteError with CodeTooLarge", err)
 	}
 	answer := make(chan error, 1)
-	go func() { answer <- a.Call(ctx, b.Address(), "slow", "x", nil) }()
+	go func() {
+		// The only slot may still be taken by the call before, whose answer left before it.
+		err := a.Call(ctx, b.Address(), "slow", "x", nil)
+		for errors.Is(err, ErrRefused) {
+			err = a.Call(ctx, b.Address(), "slow", "x", nil)
+		}
+		answer <- err
+	}()
 	<-started
 	if err := a.Call(ctx, b.Address(), "echo", "x", nil); !errors.Is(err, ErrRefused) {
 		t.Errorf("request while all handler slots are taken: %v, want ErrRefused", err)
