entry, scatter: one place turns a refused permission into an error

Both use one function now, and the special case behind Pool.Do is gone. RefusedError's RetryAfter, which nothing set any more, is removed, and a stronger host no longer states the usual time, which the host that asked takes anyhow.

Tests of entry, exchange, replicas and platform pass with -race, vet and staticcheck are clean.

--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -66,7 +66,7 @@
 	Failure    string `json:"failure,omitempty"`
 	MayHaveRun bool   `json:"may_have_run,omitempty"`
 	// RetryAfterUS is when the caller should repeat a request that has not run, in
-	// microseconds; 0 from a host that does not state it.
+	// microseconds; 0 for the usual time.
 	RetryAfterUS int64    `json:"retry_after_us,omitempty"`
 	Body         []byte   `json:"body,omitempty"`
 	Signatures   []string `json:"signatures,omitempty"`
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -59,7 +59,7 @@
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
 	if e.overload.refuses(started, route, route.Shards) {
-		return gatherReply{Failure: "the replicas are overloaded", RetryAfterUS: refusedRetryAfter(route).Microseconds()}, nil
+		return gatherReply{Failure: "the replicas are overloaded"}, nil
 	}
 	available := e.availability(started, route, route.Shards)
 	if resumes := available.resumesIn(); resumes > 0 {
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
-	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/upstream"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
@@ -124,13 +123,8 @@
 func (s *sender) exchange(ctx context.Context, a scatter.Attempt) (exchange.Reply, error) {
 	v := s.entry.view
 	replica, lapsed, p := v.permit(time.Now(), a.Replica, s.entry.coldShare)
-	switch p {
-	case unusable:
-		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errUnusable, "replica %s", a.Replica), upstream.ErrDraining)}
-	case paused:
-		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Wrapf(upstream.ErrPaused, "replica %s", a.Replica)}
-	case coldLimited:
-		return exchange.Reply{}, &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errColdLimited, "replica %s", a.Replica), upstream.ErrShed)}
+	if err := permissionError(p, a.Replica); err != nil {
+		return exchange.Reply{}, err
 	}
 	run := replica.Incarnation()
 	if !lapsed { // a lapsed replica may be gone: its silence says nothing about its data centre
@@ -139,12 +133,9 @@
 	sent := time.Now()
 	reply, err := s.entry.pool.Do(ctx, exchange.Call{
 		Request: s.request, Destination: run, Deadline: a.Deadline, AtMostOnce: s.atMostOnce,
-		Permitted: func() error { return s.stillPermitted(run) },
+		Permitted: func() error { return permissionError(v.recheck(time.Now(), run), run.ID) },
 	})
 	now := time.Now()
-	if errors.Is(err, errUnusable) {
-		return reply, &scatter.UnsentError{Cause: errors.Mark(err, upstream.ErrDraining)}
-	}
 	if errors.Is(err, exchange.ErrNoConnection) {
 		return reply, &scatter.UnsentError{Cause: errors.Mark(err, upstream.ErrShed)}
 	}
@@ -162,12 +153,18 @@
 	return s.classify(a, reply)
 }
 
-// stillPermitted returns an error if a run may no longer get the request.
-func (s *sender) stillPermitted(run replicas.Incarnation) error {
-	if s.entry.view.stillPermitted(time.Now(), run) {
-		return nil
+// permissionError returns the error of an attempt whose replica may not get the request,
+// and nil if it may.
+func permissionError(p permission, replica string) error {
+	switch p {
+	case unusable:
+		return &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errUnusable, "replica %s", replica), upstream.ErrDraining)}
+	case paused:
+		return &scatter.UnsentError{Cause: errors.Wrapf(upstream.ErrPaused, "replica %s", replica)}
+	case coldLimited:
+		return &scatter.UnsentError{Cause: errors.Mark(errors.Wrapf(errColdLimited, "replica %s", replica), upstream.ErrShed)}
 	}
-	return errors.Wrapf(errUnusable, "replica %s", run.ID)
+	return nil
 }
 
 // classify turns a replica's reply into an answer or an error.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -149,12 +149,19 @@
 	return v.registry.Service(id)
 }
 
-// stillPermitted reports whether a run that got permission may still get new work.
-func (v *view) stillPermitted(now time.Time, run replicas.Incarnation) bool {
+// recheck reports whether a run that got permission may still get new work. The rate of a
+// cold replica was charged by permit.
+func (v *view) recheck(now time.Time, run replicas.Incarnation) permission {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c, ok := v.registry.GetUsable(now, run.ID)
-	return ok && c.Pause == 0 && c.Incarnation() == run
+	switch {
+	case !ok || c.Incarnation() != run:
+		return unusable
+	case c.Pause > 0:
+		return paused
+	}
+	return allowed
 }
 
 // recordReply records what a reply says about the replica. A reply of another replica
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -48,10 +48,7 @@
 
 // RefusedError means that an upstream received a request and reported that it did
 // not run it.
-type RefusedError struct {
-	Cause      error
-	RetryAfter time.Duration
-}
+type RefusedError struct{ Cause error }
 
 // Error returns the cause.
 func (e *RefusedError) Error() string { return "not run by the upstream: " + e.Cause.Error() }
@@ -245,7 +242,7 @@
 	}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		f.NotRun, f.RetryAfter = true, refused.RetryAfter
+		f.NotRun = true
 	}
 	return f
 }
