--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -45,7 +45,7 @@
 	// clients is the number of clients with a kept connection. They send one request
 	// each, clientInterval apart.
 	clients        = 11
-	clientInterval = 400 * time.Millisecond
+	clientInterval = 380 * time.Millisecond
 	// excusedUntil is the time after SIGTERM up to which the rule excuses requests that
 	// are still in progress in the last sixth of the grace period.
 	excusedUntil = 3 * time.Second
@@ -109,6 +109,11 @@
 	}
 	group.Wait()
 	time.Sleep(longWork) // the replica finishes its work
+	select {
+	case err := <-d.exited:
+		w.log.printf("the process has ended: %v", err)
+	default:
+	}
 	w.log.printf("requests sent later than %v after SIGTERM and lost: %d", excusedUntil, lost.Load())
 	return lost.Load() > 0, nil
 }
