--- a/review/harness/memory.go
+++ b/review/harness/memory.go
@@ -55,18 +55,21 @@
 	return c
 }
 
-// anonymousKB returns the memory of a process without its program file, in kB.
-func anonymousKB(pid int) (int, error) {
+// memoryKB returns the memory of a process in kB, without its program file where the
+// kernel tells that.
+func memoryKB(pid int) (int, error) {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0, err
 	}
-	for line := range strings.SplitSeq(string(data), "\n") {
-		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")))
+	for _, field := range []string{"RssAnon:", "VmRSS:"} {
+		for line := range strings.SplitSeq(string(data), "\n") {
+			if text, ok := strings.CutPrefix(line, field); ok {
+				return strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(text), "kB")))
+			}
 		}
 	}
-	return 0, errors.New("no RssAnon in the status of the process")
+	return 0, errors.New("the status of the process tells no memory")
 }
 
 // configurationStorms changes a large configuration again and again, while clients send
@@ -94,6 +97,9 @@
 	if err != nil {
 		return false, err
 	}
+	if _, err := memoryKB(d.command.Process.Pid); err != nil {
+		return false, err
+	}
 	// The machine has been in touch for contact_ms when the changes begin.
 	time.Sleep(time.Duration(abayWikiGrown.contactMS) * time.Millisecond)
 	stop, killed := make(chan struct{}), make(chan struct{})
@@ -104,7 +110,7 @@
 	}
 	go func() {
 		for {
-			kb, err := anonymousKB(d.command.Process.Pid)
+			kb, err := memoryKB(d.command.Process.Pid)
 			if err != nil {
 				w.log.printf("memory can't be read: %v", err)
 				return
@@ -130,7 +136,7 @@
 			}
 		}
 		time.Sleep(stormPause)
-		kb, err := anonymousKB(d.command.Process.Pid)
+		kb, err := memoryKB(d.command.Process.Pid)
 		w.log.printf("storm %d has ended with version %d; the process takes %d kB (%v)", storm, version, kb, err)
 		select {
 		case <-killed:
