entry, drain: a planned stop answers all that it accepts

Cause: HostLifecycle accepted a request while LongestDeadline was left of the grace period, and the entry set that to 1 s whatever the deadline of the request. Nobody answered what was in progress at the end. Stopped said cutOff=2, the phase changed as set: accepted too late, not ended too early.

Change: each request asks with its deadline and is accepted if that passes before the host concludes its requests (answerTime before the end of the grace period); repeatable ones also early in the stop. Others are refused at once, with a time to come back and the end of their connection. Conclude ends running queries with what they have, so that everything in progress is answered; servers, peers and connections share one end. Related: a request at a stronger host that stops goes on at the caller's host, with the tries that it has had; the body is waited for before the last decision; a changed grace_s applies at once; answers after SIGTERM end their connection; idle connections without a request don't hold up the end.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -60,7 +60,6 @@
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreAddress, registry)
 	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress})
-	defer closePeers(node)
 	group := watchers.New(s.Bounds.WatcherConfig(platform.WatchSlack), s.Self(), node)
 	newSource := func(list string, objects watchers.StoreList) follow.Source[json.RawMessage] {
 		return group.Source(list, objects)
@@ -79,7 +78,7 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	stop := make(chan struct{})
 	go watchSettings(path, e, signals, stop)
-	cutOff, err := e.Run(context.Background(), stop, entry.Sources{
+	cutOff, end, err := e.Run(context.Background(), stop, entry.Sources{
 		Configuration: store.Configuration(newSource, logSkipped), Replicas: store.Replicas(newSource, logSkipped),
 		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Hosts: store, OnHosts: group.SetHosts,
 	})
@@ -87,6 +86,7 @@
 		klog.ErrorS(err, "Cannot run the entry host")
 		return exitFailed
 	}
+	closePeers(node, end)
 	klog.InfoS("Stopped", "cutOff", cutOff)
 	if cutOff > 0 {
 		return exitCutOff
@@ -95,9 +95,11 @@
 }
 
 // closePeers ends calls of other hosts that wait for changes. Those hosts then call
-// another host.
-func closePeers(node *peer.Node) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerCloseTimeout)
+// another host. It returns at the end of the planned stop at the latest.
+func closePeers(node *peer.Node, end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	ctx, cancel = context.WithTimeout(ctx, peerCloseTimeout)
 	defer cancel()
 	if err := node.Close(ctx); err != nil {
 		klog.V(1).InfoS("Calls of other hosts were interrupted", "err", err)
--- a/drain/config.go
+++ b/drain/config.go
@@ -26,8 +26,14 @@
 	// Grace is the maximum duration of a planned stop. It must be at least the
 	// greater of BalancerLag and PeerLag plus LongestDeadline.
 	Grace time.Duration
-	// LongestDeadline is the longest deadline of a request.
+	// LongestDeadline is the longest time that a request may take.
 	LongestDeadline time.Duration
+	// AnswerTime is reserved at the end of Grace to answer the requests that are still
+	// in progress.
+	AnswerTime time.Duration
+	// OpenEnded is the time after the beginning of a planned stop in which requests
+	// that may be repeated are accepted although they may last longer than the stop.
+	OpenEnded time.Duration
 }
 
 // DefaultConfig returns the default settings.
@@ -40,20 +46,27 @@
 		PeerLag:         2 * time.Second,
 		Grace:           60 * time.Second,
 		LongestDeadline: 30 * time.Second,
+		AnswerTime:      500 * time.Millisecond,
 	}
 }
 
 // Validate returns an error if a setting is out of range.
 func (c Config) Validate() error {
-	if c.Closing < 0 || c.ReturnSteps < 1 || c.ReturnStepTime < 0 || c.BalancerLag < 0 || c.PeerLag < 0 {
+	if c.Closing < 0 || c.ReturnSteps < 1 || c.ReturnStepTime < 0 || c.BalancerLag < 0 || c.PeerLag < 0 || c.OpenEnded < 0 {
 		return errors.New("drain times must not be negative and return steps must be at least 1")
 	}
-	if minGrace := max(c.BalancerLag, c.PeerLag) + c.LongestDeadline; c.Grace < minGrace {
-		return errors.Newf("grace period %s is shorter than lag plus longest deadline, %s", c.Grace, minGrace)
+	if c.Grace < c.MinimumGrace() {
+		return errors.Newf("grace period %s is shorter than lag plus longest deadline, %s", c.Grace, c.MinimumGrace())
 	}
 	return nil
 }
 
+// MinimumGrace returns the grace period in which everything that arrives before others know
+// of a stop can end, without the time to answer what is concluded.
+func (c Config) MinimumGrace() time.Duration {
+	return max(c.BalancerLag, c.PeerLag) + c.LongestDeadline
+}
+
 // ReturnShare returns the share of its normal load, between 0 and 1, that a data
 // centre gets when the given time has passed since its return. It rises in equal
 // steps, the first of which takes effect immediately.
--- a/drain/doc.go
+++ b/drain/doc.go
@@ -12,8 +12,10 @@
 // HostLifecycle tracks this host. On a planned stop the host becomes unready,
 // announces that it is leaving, serves callers until the load balancer has
 // reacted, releases its shares when its owner work has ended, and stops when
-// nothing is in flight. The grace period limits the duration of the stop; the
-// requests that it cuts off are counted.
+// nothing is in flight. It accepts only what can end before the stop does. The grace
+// period limits the duration of the stop; shortly before its end, everything that is
+// still in flight is concluded, so that it gets an answer. What the end cuts off
+// nevertheless is counted.
 //
 // Both are pure state machines that read no clock.
 package drain
--- a/drain/example_test.go
+++ b/drain/example_test.go
@@ -26,7 +26,7 @@
 
 	host := drain.NewHostLifecycle(cfg)
 	host.SetConfiguration(false)
-	host.Begin(now, drain.CallerWork)
+	host.Begin(now, drain.Request{Work: drain.CallerWork, Deadline: now.Add(cfg.LongestDeadline)})
 	fmt.Println(host.Stop(now))
 	now = now.Add(cfg.BalancerLag)
 	fmt.Println(host.Tick(now))
--- a/drain/host.go
+++ b/drain/host.go
@@ -41,8 +41,17 @@
 	workKinds
 )
 
-// Action is an action that the caller must perform: Announce, ReleaseShares or
-// Exit.
+// Request describes work that asks to be accepted.
+type Request struct {
+	Work Work
+	// Deadline is when whoever waits for the result stops waiting.
+	Deadline time.Time
+	// Repeatable is set if the work may be given up and run again on another host.
+	Repeatable bool
+}
+
+// Action is an action that the caller must perform: Announce, ReleaseShares, Conclude
+// or Exit.
 type Action interface{ action() }
 
 // Announce requests that the phase of this host be announced to peers and, if the
@@ -56,6 +65,10 @@
 // whole grace period; the shares then move when the host is declared dead.
 type ReleaseShares struct{}
 
+// Conclude requests that everything in flight be ended and answered now, with what is
+// known of it. It comes AnswerTime before the end of the grace period.
+type Conclude struct{}
+
 // Exit requests the end of the process. CutOff is the number of requests still in
 // flight. Unwritten is the number of outcomes that are lost; resends with their
 // keys get may_have_run.
@@ -63,6 +76,7 @@
 
 func (Announce) action()      {}
 func (ReleaseShares) action() {}
+func (Conclude) action()      {}
 func (Exit) action()          {}
 
 // HostLifecycle tracks the phase of this host and its work in flight. It is not
@@ -75,6 +89,7 @@
 	stopAt     time.Time // when the planned stop began
 	releasing  bool
 	released   bool
+	concluded  bool
 	work       [workKinds]int
 	cutOff     int
 }
@@ -131,29 +146,43 @@
 	return append([]Action{Announce{Phase: Leaving}}, h.Tick(now)...)
 }
 
-// Begin reports whether a request is accepted and, if so, counts it as in flight.
-// During a planned stop it refuses owner work after PeerLag, when peers have had the
-// time to learn that the host is leaving, and any request that could last longer
-// than the grace period. The sender of a refused request knows that it was not run
-// and can try another host.
-func (h *HostLifecycle) Begin(now time.Time, w Work) bool {
-	if h.phase == Stopped || h.phase == Leaving && !h.canFinish(now, w) {
+// SetConfig changes the settings. They do not change a planned stop that has begun.
+func (h *HostLifecycle) SetConfig(cfg Config) {
+	if h.phase != Leaving {
+		h.cfg = cfg
+	}
+}
+
+// Begin reports whether a request is accepted and, if so, counts it as in flight. The
+// sender of a refused request knows that it was not run and can try another host.
+func (h *HostLifecycle) Begin(now time.Time, r Request) bool {
+	if !h.Accepts(now, r) {
 		return false
 	}
-	h.work[w]++
+	h.work[r.Work]++
 	return true
 }
 
-func (h *HostLifecycle) canFinish(now time.Time, w Work) bool {
-	if w == OutcomeWork {
+// Accepts reports whether a request may start now. During a planned stop it may if its
+// deadline passes before Conclude, so that no request that is accepted can be cut off.
+// Repeatable requests that may last longer are accepted as well for the first OpenEnded
+// of the stop. Owner work is refused after PeerLag, when peers have had the time to
+// learn that the host is leaving.
+func (h *HostLifecycle) Accepts(now time.Time, r Request) bool {
+	switch {
+	case h.phase == Stopped:
+		return false
+	case h.phase != Leaving, r.Work == OutcomeWork:
 		return true
-	}
-	if w == OwnerWork && (h.releasing || !now.Before(h.stopAt.Add(h.cfg.PeerLag))) {
+	case r.Work == OwnerWork && (h.releasing || !now.Before(h.stopAt.Add(h.cfg.PeerLag))):
 		return false
 	}
-	return now.Add(h.cfg.LongestDeadline).Before(h.stopAt.Add(h.cfg.Grace))
+	return !r.Deadline.After(h.concludeAt()) || r.Repeatable && !h.concluded && now.Before(h.stopAt.Add(h.cfg.OpenEnded))
 }
 
+// concludeAt returns when the work that is still in flight is concluded.
+func (h *HostLifecycle) concludeAt() time.Time { return h.stopAt.Add(h.cfg.Grace - h.cfg.AnswerTime) }
+
 // End records the end of a request that Begin accepted.
 func (h *HostLifecycle) End(now time.Time, w Work) []Action {
 	if h.work[w] > 0 {
@@ -191,6 +220,10 @@
 		h.releasing = true
 		actions = append(actions, ReleaseShares{})
 	}
+	if !h.concluded && !now.Before(h.concludeAt()) {
+		h.concluded = true
+		actions = append(actions, Conclude{})
+	}
 	idle := h.released && h.InFlight() == 0 && !now.Before(h.stopAt.Add(h.cfg.BalancerLag))
 	if idle || !now.Before(h.stopAt.Add(h.cfg.Grace)) {
 		h.phase = Stopped
@@ -207,6 +240,9 @@
 		return time.Time{}, false
 	}
 	at := h.stopAt.Add(h.cfg.Grace)
+	if !h.concluded {
+		at = h.concludeAt()
+	}
 	if !h.releasing && h.work[OwnerWork] == 0 {
 		at = earlier(at, h.stopAt.Add(h.cfg.PeerLag))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,6 +120,7 @@
 	drainConfig.BalancerLag = s.Drain.BalancerLag
 	drainConfig.Grace = s.Drain.Grace
 	drainConfig.LongestDeadline = s.Limits.LongestDeadline
+	drainConfig.AnswerTime = min(drainConfig.AnswerTime, drainConfig.Grace-drainConfig.MinimumGrace())
 	if err := drainConfig.Validate(); err != nil {
 		return errors.Wrap(err, "settings [drain]")
 	}
@@ -179,9 +180,10 @@
 	d.journal.hosts, d.journal.address = d.members.journalWriters, d.members.address
 	d.lifecycle.Announce = d.announcePhase
 	d.lifecycle.Release = d.release
-	d.router.beginWork = func() bool { return d.beginWork(drain.OwnerWork) }
+	d.lifecycle.Conclude = d.scatter.Conclude
+	d.router.beginWork = func(deadline time.Time) bool { return d.beginWork(drain.OwnerWork, deadline) }
 	d.router.endWork = func() { d.endWork(drain.OwnerWork) }
-	d.journal.beginWork = func() bool { return d.beginWork(drain.RecordWork) }
+	d.journal.beginWork = func(deadline time.Time) bool { return d.beginWork(drain.RecordWork, deadline) }
 	d.journal.endWork = func() { d.endWork(drain.RecordWork) }
 }
 
@@ -312,9 +314,16 @@
 	}
 }
 
-// beginWork counts a piece of work that starts; it returns false if this host no
-// longer accepts work of that kind.
-func (d *Daemon) beginWork(w drain.Work) bool { return d.lifecycle.Begin(w) }
+// beginWork counts a piece of work that starts and ends by a deadline. It returns false
+// if this host no longer accepts such work.
+func (d *Daemon) beginWork(w drain.Work, deadline time.Time) bool {
+	return d.lifecycle.Begin(drain.Request{Work: w, Deadline: deadline})
+}
+
+// beginRequest is beginWork for a caller's request.
+func (d *Daemon) beginRequest() bool {
+	return d.beginWork(drain.CallerWork, time.Now().Add(d.settings.Limits.LongestDeadline))
+}
 
 // endWork counts the end of work that beginWork accepted.
 func (d *Daemon) endWork(w drain.Work) { d.lifecycle.End(w) }
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -73,12 +73,13 @@
 	if err := request.Decode(&item); err != nil {
 		return nil, err
 	}
-	if !r.beginWork() {
+	attempt := item.attempt(time.Now())
+	if !r.beginWork(attempt.Deadline) {
 		return nil, errLeaving
 	}
 	defer r.endWork()
 	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.execute", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	reply, err := r.executeLocally(ctx, item.attempt(time.Now()))
+	reply, err := r.executeLocally(ctx, attempt)
 	return newWorkDone(item.Request.Attempt, reply, err), nil
 }
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -35,7 +35,7 @@
 
 	// beginWork counts the start of journal work and reports whether this host
 	// accepts such work; endWork counts its end.
-	beginWork func() bool
+	beginWork func(deadline time.Time) bool
 	endWork   func()
 
 	machine *once.Machine
@@ -60,7 +60,7 @@
 		store: store, node: node, dispatcher: d, machine: machine, ctx: ctx,
 		router: once.NewRouter(machine, self),
 		hosts:  func() []string { return []string{self} }, address: func(string) string { return "" },
-		beginWork: func() bool { return true }, endWork: func() {},
+		beginWork: func(time.Time) bool { return true }, endWork: func() {},
 	}
 	r.step.Tick, r.step.Next, r.step.Perform = machine.Tick, machine.Next, r.perform
 	node.Handle(methodOnceSubmit, r.handleSubmit)
@@ -108,14 +108,15 @@
 	if err := request.Decode(&m); err != nil {
 		return nil, err
 	}
-	if !r.beginWork() {
+	deadline := time.Now().Add(time.Duration(m.DeadlineUS) * time.Microsecond)
+	if !r.beginWork(deadline) {
 		return nil, errLeaving
 	}
 	defer r.endWork()
 	ctx = tracing.Extract(ctx, peer.Traceparent(ctx))
 	return r.submit(ctx, once.Submission{
 		ID: m.ID, Key: m.Key, Number: m.Number, Contract: m.Contract, Service: m.Service, Body: m.Body,
-		Deadline: time.Now().Add(time.Duration(m.DeadlineUS) * time.Microsecond),
+		Deadline: deadline,
 	}, r.machine.Submit), nil
 }
 
@@ -167,7 +168,7 @@
 // dispatch runs a recorded request. The request counts as work of this host until the
 // machine has its outcome, so that a planned stop waits for it.
 func (r *journalRunner) dispatch(a once.Dispatch) {
-	if r.beginWork() {
+	if r.beginWork(a.Submission.Deadline) {
 		defer r.endWork()
 	}
 	span := trace.SpanContextFromContext(r.contextOf(a.Submission.ID))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -43,7 +43,7 @@
 	pending  sync.Map // attempt id to *routedAttempt
 	// beginWork counts the start of work for another host and reports whether this
 	// host accepts such work; endWork counts its end.
-	beginWork func() bool
+	beginWork func(deadline time.Time) bool
 	endWork   func()
 }
 
@@ -82,7 +82,7 @@
 func newRouter(self string, lookup ownerLookup, g *gateway, node *peer.Node, registry metrics.Registry) *router {
 	r := &router{
 		self: self, lookup: lookup, gateway: g, node: node, registry: registry, tracer: otel.Tracer("marigoldlever/router"),
-		beginWork: func() bool { return true }, endWork: func() {},
+		beginWork: func(time.Time) bool { return true }, endWork: func() {},
 	}
 	node.Handle(methodWorkBatch, r.handleBatch)
 	node.Handle(methodWorkDone, r.handleDone)
@@ -260,13 +260,13 @@
 	if err := request.Decode(&batch); err != nil {
 		return nil, err
 	}
-	if !r.beginWork() {
+	now := time.Now()
+	if !r.beginWork(batch.deadline(now)) {
 		return nil, errLeaving
 	}
 	defer r.endWork()
 	ctx, span := r.tracer.Start(tracing.Extract(ctx, peer.Traceparent(ctx)), "owner.batch", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	now := time.Now()
 	var wait sync.WaitGroup
 	for _, item := range batch.Items {
 		wait.Add(1)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -27,8 +27,8 @@
 
 // Query implements api.Service.
 func (d *Daemon) Query(ctx context.Context, q api.QueryRequest) (api.Answer, error) {
-	if !d.beginWork(drain.CallerWork) {
-		return api.Answer{}, api.NewProblem(api.KindLeaving, "this host has stopped").WithRetry(true, 0)
+	if !d.beginRequest() {
+		return api.Answer{}, api.NewProblem(api.KindLeaving, "this host is leaving").WithRetry(true, 0)
 	}
 	defer d.endWork(drain.CallerWork)
 	started := time.Now()
@@ -124,8 +124,8 @@
 
 // Execute implements api.Service.
 func (d *Daemon) Execute(ctx context.Context, e api.ExecuteRequest) (api.ExecuteAnswer, error) {
-	if !d.beginWork(drain.CallerWork) {
-		return api.ExecuteAnswer{}, api.NewProblem(api.KindLeaving, "this host has stopped").
+	if !d.beginRequest() {
+		return api.ExecuteAnswer{}, api.NewProblem(api.KindLeaving, "this host is leaving").
 			WithRun(runBeforeJournal(e)).WithRetry(true, 0)
 	}
 	defer d.endWork(drain.CallerWork)
@@ -228,11 +228,11 @@
 	if !ok {
 		return api.PatchAnswer{}, api.NewProblem(api.KindInvalidRequest, "patch type %q is not supported, want merge or json-patch", p.Type).WithRetry(false, 0)
 	}
-	if !d.beginWork(drain.CallerWork) {
-		return api.PatchAnswer{}, api.NewProblem(api.KindLeaving, "this host has stopped")
+	now := time.Now()
+	if !d.beginWork(drain.CallerWork, now.Add(patchTimeout)) {
+		return api.PatchAnswer{}, api.NewProblem(api.KindLeaving, "this host is leaving")
 	}
 	defer d.endWork(drain.CallerWork)
-	now := time.Now()
 	result, err := d.configuration.patch(ctx, configuration.Patch{
 		ID: p.ID, Base: p.Base, Author: p.Author, Type: patchType, Body: p.Patch,
 	}, now.Add(patchTimeout))
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -69,6 +69,15 @@
 	Items []workItem `json:"items"`
 }
 
+// deadline returns the latest deadline of the items, counted from now.
+func (b workBatch) deadline(now time.Time) time.Time {
+	latest := int64(0)
+	for _, item := range b.Items {
+		latest = max(latest, item.DeadlineUS)
+	}
+	return now.Add(time.Duration(latest) * time.Microsecond)
+}
+
 // workDone is the result of one work item.
 type workDone struct {
 	Attempt string         `json:"attempt"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
-	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/follow"
 	"github.com/marigoldlever/marigoldlever/internal/lifecycle"
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
@@ -28,18 +27,6 @@
 	housekeepingInterval = 500 * time.Millisecond
 	// maxStatisticsAge is how long unused statistics are kept.
 	maxStatisticsAge = time.Minute
-	// balancerLag is how long the balancer goes on sending new connections to a host
-	// that is not ready: two health checks a second apart, plus their transit times.
-	balancerLag = 2300 * time.Millisecond
-	// stopMargin is reserved before the end of the grace period.
-	stopMargin = time.Second
-	// refusalTime is how long late requests are refused before the listeners close.
-	// Connections that look idle are not closed sooner, because a request may just have
-	// arrived on one of them.
-	refusalTime = 250 * time.Millisecond
-	// minRemainingGrace is how much of the grace period must remain for a request to be
-	// accepted during a planned stop.
-	minRemainingGrace = time.Second
 	// memoryLimitShare of the memory limit is the garbage collector's soft limit: above
 	// it, the collector runs more often.
 	memoryLimitShare = 0.7
@@ -117,7 +104,8 @@
 		RetryBudget: func() query.RetryBudget { return query.NewServiceBudgets(time.Now(), e.budgetLimits) },
 		Seed:        seed,
 	})
-	e.lifecycle = lifecycle.New(drain.Config{BalancerLag: balancerLag, LongestDeadline: minRemainingGrace, Grace: s.Bounds.Grace - stopMargin})
+	e.lifecycle = lifecycle.New(drainConfig(s.Bounds.Grace))
+	e.lifecycle.Conclude = e.conclude
 	return e
 }
 
@@ -125,14 +113,16 @@
 // restart.
 func (e *Entry) Reload(s Settings) {
 	e.bounds.Store(&s.Bounds)
+	e.lifecycle.SetConfig(drainConfig(s.Bounds.Grace))
 	restart := s.CallerAddress != e.settings.CallerAddress || s.StoreAddress != e.settings.StoreAddress ||
 		s.DataCentre != e.settings.DataCentre
 	klog.InfoS("Settings reloaded", "needRestart", restart)
 }
 
 // Run serves until stop is closed and the planned stop has ended. It returns the number
-// of requests that were still in progress then.
-func (e *Entry) Run(ctx context.Context, stop <-chan struct{}, sources Sources) (int, error) {
+// of requests that were still in progress then, and the time by which the process should
+// end.
+func (e *Entry) Run(ctx context.Context, stop <-chan struct{}, sources Sources) (cutOff int, end time.Time, _ error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if e.settings.MemoryMB > 0 {
@@ -141,7 +131,7 @@
 	}
 	servers, err := e.listen()
 	if err != nil {
-		return 0, err
+		return 0, end, err
 	}
 	e.view.onTable = func(t *routing.Table) {
 		e.shares.setTable(t)
@@ -161,13 +151,10 @@
 	}
 	group.Go(func() { wait.Every(ctx, reachTick, func(now time.Time) { e.reach.tick(ctx, now) }) })
 	<-stop
-	klog.InfoS("Planned stop begins", "host", e.settings.Host, "inFlight", e.lifecycle.InFlight())
-	aborted := e.lifecycle.StopAndWait(ctx)
-	time.Sleep(refusalTime)
+	cutOff, end = e.stop(ctx, servers)
 	cancel()
-	servers.close()
 	group.Wait()
-	return aborted, nil
+	return cutOff, end, nil
 }
 
 // follow keeps the view up to date until ctx ends.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -285,7 +285,7 @@
 	e := entry.New(entry.Settings{Host: "host", DataCentre: "dc", CallerAddress: tr.address, ReadinessAddress: tr.readiness,
 		Bounds: entry.Bounds{Grace: time.Second}}, platform.Codec{}, metrics.NewRegistry(), 1)
 	go func() {
-		if _, err := e.Run(t.Context(), tr.stop, entry.Sources{
+		if _, _, err := e.Run(t.Context(), tr.stop, entry.Sources{
 			Configuration: newStoreList[*routing.Table](), Replicas: newStoreList[replicas.Replica](), DataCentresOut: newStoreList[struct{}](), Hosts: hostList{}, OnHosts: ignoreHosts,
 		}); err != nil {
 			t.Error(err)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -34,19 +34,7 @@
 
 // ServeHTTP handles one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out := outcome{started: time.Now()}
-	if !e.lifecycle.Begin(drain.CallerWork) {
-		e.refuse(w, &out, http.StatusServiceUnavailable, notReadyRetry, "this host is leaving")
-		return
-	}
-	defer e.lifecycle.End(drain.CallerWork)
-	if e.lifecycle.Phase() == drain.Leaving {
-		w.Header().Set("Connection", "close")
-	}
-	e.serve(w, r, &out)
-}
-
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, out *outcome) {
+	out := &outcome{started: time.Now()}
 	request, timeout, err := e.callers.ReadRequest(r)
 	out.id = request.ID
 	if err != nil {
@@ -65,12 +53,22 @@
 		return
 	}
 	out.route = route.Name
+	if route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
+	work := drain.Request{Work: drain.CallerWork, Deadline: out.started.Add(timeout), Repeatable: route.Idempotent}
+	if !e.lifecycle.Begin(work) {
+		e.refuseLeaving(w, out)
+		return
+	}
+	defer e.lifecycle.End(drain.CallerWork)
 	if request.Body, err = readBody(w, r, table.Limits.BodyBytes); err != nil {
 		e.refuseBody(w, out, err)
 		return
 	}
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
+	if !e.lifecycle.Accepts(work) { // the body may have taken long to arrive
+		e.refuseLeaving(w, out)
+		return
 	}
 	latencyGoal := e.latencyGoalFor(r.Context(), route, timeout)
 	if !e.offload.forward(w, r, out, route, &request, timeout, latencyGoal) {
@@ -78,6 +76,18 @@
 	}
 }
 
+// refuseLeaving refuses a request that may last longer than this host.
+func (e *Entry) refuseLeaving(w http.ResponseWriter, out *outcome) {
+	e.refuse(w, out, http.StatusServiceUnavailable, leavingRetry, "this host is leaving; the request has not run")
+}
+
+// closeIfLeaving makes an answer the last one on its connection if this host is leaving.
+func (e *Entry) closeIfLeaving(w http.ResponseWriter) {
+	if phase := e.lifecycle.Phase(); phase == drain.Leaving || phase == drain.Stopped {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // findRoute returns the route of a request.
 func findRoute(table *routing.Table, request *exchange.Request) (*routing.Route, bool) {
 	path, _, _ := strings.Cut(request.Target, "?")
@@ -109,21 +119,21 @@
 func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, timeout, latencyGoal time.Duration) {
 	names := servicesOf(route)
 	if e.overload.refuses(out.started, route, names) {
-		e.refuse(w, out, http.StatusServiceUnavailable, refusedRetryAfter(route), "the replicas are overloaded; the request has not run")
+		e.refuseUnanswered(w, out, false, refusedRetryAfter(route), "the replicas are overloaded", timeout)
 		return
 	}
 	available := e.availability(time.Now(), route, names)
 	if resumes := available.resumesIn(); resumes > 0 {
-		e.refuse(w, out, http.StatusServiceUnavailable, resumes, pausedRefusal+"; the request has not run")
+		e.refuseUnanswered(w, out, false, resumes, pausedRefusal, timeout)
 		return
 	}
 	if !available.enoughReachable() {
 		w.Header().Set("Connection", "close")
-		e.refuse(w, out, http.StatusServiceUnavailable, isolatedRetryAfter(route, e.reach.unreachableFor(out.started)), "too few replicas are in reach; the request has not run")
+		e.refuseUnanswered(w, out, false, isolatedRetryAfter(route, e.reach.unreachableFor(out.started)), "too few replicas are in reach", timeout)
 		return
 	}
 	if !available.enoughConnections(route) {
-		e.refuse(w, out, http.StatusServiceUnavailable, refusedRetryAfter(route), "too few replicas have room; the request has not run")
+		e.refuseUnanswered(w, out, false, refusedRetryAfter(route), "too few replicas have room", timeout)
 		return
 	}
 	passed := time.Since(out.started)
@@ -157,6 +167,7 @@
 func (e *Entry) execute(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, services []query.Service, timeout, latencyGoal time.Duration) (query.Finish, error) {
 	plan := e.plan(request.ID, route, services, timeout)
 	plan.LatencyGoal = latencyGoal + plan.Tuning.FinishMargin
+	plan.Tuning.MaxTries -= out.tries
 	out.sender = newSender(e, request, plan.AtMostOnce, len(route.Shards))
 	finish, err := e.scatter.Run(ctx, out.sender, plan, nil)
 	if err != nil {
@@ -184,6 +195,7 @@
 // writeMerged answers with merged records.
 func (e *Entry) writeMerged(w http.ResponseWriter, out *outcome, route *routing.Route, body []byte, signatures []string) {
 	out.status = http.StatusOK
+	e.closeIfLeaving(w)
 	out.recordWriteError(e.callers.WriteMerged(w, out.id, body, signatures, len(route.Shards)-len(signatures)))
 	e.recordAnswer(out, route, body, signatures)
 	e.report(out)
@@ -213,6 +225,7 @@
 
 func (e *Entry) writeReply(w http.ResponseWriter, out *outcome, reply exchange.Reply) {
 	out.status, out.parts = reply.Status, 1
+	e.closeIfLeaving(w)
 	out.recordWriteError(e.callers.WriteReply(w, out.id, reply))
 	e.report(out)
 }
@@ -252,9 +265,9 @@
 }
 
 // refuseUnanswered answers a request that got no result. retryAfter applies if it has not
-// run.
+// run, here or at the host that had it before.
 func (e *Entry) refuseUnanswered(w http.ResponseWriter, out *outcome, mayHaveRun bool, retryAfter time.Duration, text string, timeout time.Duration) {
-	if !mayHaveRun {
+	if !mayHaveRun && out.tries == 0 {
 		e.refuse(w, out, http.StatusServiceUnavailable, retryAfter, "the request has not run: "+text)
 		return
 	}
@@ -267,6 +280,7 @@
 
 func (e *Entry) refuse(w http.ResponseWriter, out *outcome, status int, retryAfter time.Duration, text string) {
 	out.status, out.reason = status, text
+	e.closeIfLeaving(w)
 	out.recordWriteError(e.callers.WriteRefusal(w, out.id, status, retryAfter, text))
 	e.report(out)
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -136,6 +136,7 @@
 	metrics            metrics.Registry
 	node               *peer.Node // nil if the entry has no peer address
 	peerAddress        string
+	grace              time.Duration
 	stop               chan struct{}
 	stopped            chan int
 	client             *http.Client
@@ -172,13 +173,16 @@
 	if tr.replicas == nil {
 		tr.replicas = tr.registry
 	}
+	if tr.grace == 0 {
+		tr.grace = 4 * time.Second
+	}
 	tr.stop, tr.stopped = make(chan struct{}), make(chan int, 1)
 	tr.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 5 * time.Second}
 	tr.metrics = metrics.NewRegistry()
 	settings := entry.Settings{
 		Host: self.ID, DataCentre: self.DataCentre, PeerAddress: self.Address, Cores: self.Cores,
 		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness,
-		Bounds: entry.Bounds{Grace: 4 * time.Second, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
+		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
 	}
 	e := entry.New(settings, platform.Codec{}, tr.metrics, 1)
 	if self.Address != "" {
@@ -191,7 +195,7 @@
 		t.Cleanup(func() { _ = tr.node.Close(context.Background()) })
 	}
 	go func() {
-		aborted, err := e.Run(context.Background(), tr.stop, entry.Sources{
+		aborted, _, err := e.Run(context.Background(), tr.stop, entry.Sources{
 			Configuration: tr.configuration, Replicas: tr.replicas, DataCentresOut: tr.dataCentresOut, Hosts: list, OnHosts: ignoreHosts,
 		})
 		if err != nil {
@@ -279,6 +283,7 @@
 	status int
 	body   string
 	header http.Header
+	closes bool // whether the answer is the last one on its connection
 }
 
 var lastRequestID atomic.Int64
--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -59,9 +59,11 @@
 
 // gatherReply is the result of a gatherRequest.
 type gatherReply struct {
-	// Refused is why the host sent nothing to replicas; empty if it accepted the
-	// request.
+	// Refused is why the host did not handle the request; empty if it did.
 	Refused string `json:"refused,omitempty"`
+	// Tries is the number of replicas of a part that may have run a refused request. It is
+	// not 0 only if the host stopped before the request ended.
+	Tries int `json:"tries,omitempty"`
 	// Failure is why there is no answer, and MayHaveRun whether a part may have run.
 	Failure    string `json:"failure,omitempty"`
 	MayHaveRun bool   `json:"may_have_run,omitempty"`
@@ -90,6 +92,8 @@
 	chooser *offload.Chooser
 	// pending holds the calls in flight, by host.
 	pending map[string]map[*pendingCall]struct{}
+	// concluded is set when this host ends its requests because it stops.
+	concluded bool
 
 	// running holds the cancel functions of other hosts' requests in progress, by host
 	// and request id.
@@ -104,7 +108,8 @@
 	alive                                metrics.Gauge // number of live stronger hosts
 }
 
-// pendingCall is a call that is aborted when its host fails its liveness checks.
+// pendingCall is a call that is aborted when its host fails its liveness checks or this
+// host stops.
 type pendingCall struct{ abort context.CancelCauseFunc }
 
 // EnableOffload lets the entry forward requests to other hosts and handle theirs. It
@@ -135,6 +140,42 @@
 	o.chooser.SetHosts(hosts)
 }
 
+// errStopping ends the calls in flight when this host stops.
+var errStopping = errors.New("this host stops")
+
+// conclude ends all calls in flight because this host stops.
+func (o *offloader) conclude() {
+	if o == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.concluded = true
+	for _, calls := range o.pending {
+		for c := range calls {
+			c.abort(errStopping)
+		}
+	}
+}
+
+// addPending registers a call in flight until the returned function is called.
+func (o *offloader) addPending(host string, c *pendingCall) (remove func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pending[host] == nil {
+		o.pending[host] = map[*pendingCall]struct{}{}
+	}
+	o.pending[host][c] = struct{}{}
+	if o.concluded {
+		c.abort(errStopping)
+	}
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.pending[host], c)
+	}
+}
+
 // offloadable reports whether requests of a route may be forwarded to another host.
 func offloadable(route *routing.Route) bool {
 	return route.Idempotent && offload.Large(len(route.Shards))
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -5,8 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/peer"
+	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
 
@@ -74,7 +77,8 @@
 	default:
 		return gatherReply{Refused: "this host is busy"}, nil
 	}
-	if !e.lifecycle.Begin(drain.OwnerWork) {
+	timeout := time.Duration(call.TimeoutUS) * time.Microsecond
+	if !e.lifecycle.Begin(drain.Request{Work: drain.OwnerWork, Deadline: started.Add(timeout), Repeatable: true}) {
 		return gatherReply{Refused: "this host is leaving"}, nil
 	}
 	defer e.lifecycle.End(drain.OwnerWork)
@@ -82,7 +86,6 @@
 	ctx, end := o.track(ctx, r.From, call.ID)
 	defer end()
 	out := outcome{started: started, id: call.ID, route: route.Name, version: table.Version, forwardedFrom: r.From}
-	timeout := time.Duration(call.TimeoutUS) * time.Microsecond
 	latencyGoal := time.Duration(call.LatencyGoalUS) * time.Microsecond
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(ctx, &out, route, &request, available.services, timeout, latencyGoal)
@@ -96,6 +99,9 @@
 	if finish.Refusal != nil {
 		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: e.retryAfter(route, finish).Microseconds()}
 		out.reason = reply.Failure
+		if errors.Is(finish.Refusal, query.ErrConcluded) {
+			reply = gatherReply{Refused: reply.Failure, Tries: finish.Answer.Counts.Tries}
+		}
 	} else {
 		out.status = http.StatusOK
 		reply.Body, reply.Signatures = out.merge(route, finish)
--- a/internal/entry/offload_send.go
+++ b/internal/entry/offload_send.go
@@ -33,12 +33,17 @@
 		Version: out.version, TimeoutUS: (timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
 	})
 	out.latencyGoal = latencyGoal
+	unsent := errors.IsAny(err, peer.ErrConnect, peer.ErrRefused)
 	switch {
 	case r.Context().Err() != nil:
 		o.recordResult(host.ID, offload.Completed) // the result says nothing about the host
 		o.entry.reportCallerLeft(out)
 		o.notifyCallerLeft(host, request.ID)
-	case errors.Is(err, peer.ErrConnect), errors.Is(err, peer.ErrRefused):
+	case errors.Is(err, errStopping):
+		o.recordResult(host.ID, offload.Completed) // the result says nothing about the host
+		o.entry.refuseUnanswered(w, out, !unsent, leavingRetry, err.Error(), timeout)
+		o.notifyCallerLeft(host, request.ID)
+	case unsent:
 		o.failed.Inc(1)
 		o.recordResult(host.ID, offload.Failed)
 		out.declineReason = err.Error()
@@ -51,6 +56,10 @@
 		o.refused.Inc(1)
 		o.recordResult(host.ID, offload.Refused)
 		out.declineReason = reply.Refused
+		if out.tries = reply.Tries; route.MaxAttempts > 0 && out.tries >= route.MaxAttempts {
+			o.entry.refuseUnanswered(w, out, true, 0, reply.Refused, timeout)
+			return true
+		}
 		return false
 	default:
 		o.forwarded.Inc(1)
@@ -80,22 +89,12 @@
 	defer cancel()
 	ctx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
-	p := &pendingCall{abort: abort}
-	o.mu.Lock()
-	if o.pending[host.ID] == nil {
-		o.pending[host.ID] = map[*pendingCall]struct{}{}
-	}
-	o.pending[host.ID][p] = struct{}{}
-	o.mu.Unlock()
-	defer func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.pending[host.ID], p)
-	}()
+	defer o.addPending(host.ID, &pendingCall{abort: abort})()
 	var reply gatherReply
 	err := o.node.Call(ctx, host.Address, methodGather, request, &reply)
 	if err != nil && ctx.Err() != nil {
-		return reply, errors.Wrapf(err, "%v", context.Cause(ctx))
+		cause := context.Cause(ctx)
+		return reply, errors.Mark(errors.Wrapf(err, "%v", cause), cause)
 	}
 	return reply, err
 }
--- a/internal/entry/offload_test.go
+++ b/internal/entry/offload_test.go
@@ -17,9 +17,22 @@
 
 // startPair starts a weak and a strong host in front of the same shards.
 func startPair(t *testing.T) (weak, strong *tier) {
+	t.Helper()
+	weak, strong = newPair(t)
+	runPair(t, weak, strong)
+	return weak, strong
+}
+
+// newPair returns a weak and a strong host that are not started yet.
+func newPair(t *testing.T) (weak, strong *tier) {
 	t.Helper()
 	weak = newTier(t, offload.MinParts)
 	strong = &tier{configuration: weak.configuration, registry: weak.registry, dataCentresOut: weak.dataCentresOut, shards: weak.shards}
+	return weak, strong
+}
+
+func runPair(t *testing.T, weak, strong *tier) {
+	t.Helper()
 	list := hostList{
 		{ID: "strong", DataCentre: "dc", Address: freeAddress(t), Cores: 0.8},
 		{ID: "weak", DataCentre: "dc", Address: freeAddress(t), Cores: 0.2},
@@ -27,7 +40,6 @@
 	strong.run(t, list[0], list)
 	weak.run(t, list[1], list)
 	weak.awaitAlive(t, 1)
-	return weak, strong
 }
 
 func (tr *tier) counter(name string) int64 {
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -26,6 +26,7 @@
 	forwardedTo  string  // id of the host that was asked to handle the request; empty if none
 	// declineReason is why that host did not handle it; empty if it did.
 	declineReason string
+	tries         int    // replicas of a part that got the request from that host, if it stopped
 	forwardedFrom string // address of the host that forwarded the request; empty if none
 	started       time.Time
 	latencyGoal   time.Duration // counted from started
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -55,6 +56,13 @@
 	}
 }
 
+// shutDown closes the servers. Requests that have arrived are answered if ctx leaves the
+// time.
+func (s *servers) shutDown(ctx context.Context) {
+	s.callers.shutDown(ctx)
+	s.close()
+}
+
 func (s *servers) close() {
 	s.callers.close()
 	if err := s.pages.Close(); err != nil {
@@ -93,10 +101,10 @@
 
 func (s *callerServer) addServer(l routing.Limits) {
 	s.limits = l
-	h := &handoffServer{connections: make(chan net.Conn), closed: make(chan struct{}), address: s.listener.Addr()}
+	h := &handoffServer{connections: make(chan net.Conn), closed: make(chan struct{}), address: s.listener.Addr(), silent: map[net.Conn]struct{}{}}
 	h.server = &http.Server{
 		Handler: s.handler, ConnContext: withCallerConn, MaxHeaderBytes: l.HeaderBytes,
-		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin,
+		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin, ConnState: h.trackSilent,
 	}
 	if l.IdleTimeout <= 0 {
 		h.server.IdleTimeout = defaultLimits.IdleTimeout
@@ -128,9 +136,21 @@
 // process is out of file descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
+// shutDown closes the listener and the idle connections, and waits until the requests in
+// progress are answered or ctx ends.
+func (s *callerServer) shutDown(ctx context.Context) {
+	_ = s.listener.Close() // fails only on a closed listener
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var group sync.WaitGroup
+	for _, h := range s.servers {
+		group.Go(func() { h.shutDown(ctx) })
+	}
+	group.Wait()
+}
+
 func (s *callerServer) close() {
-	// The listener is closed only once, and Close fails only on a closed listener.
-	_ = s.listener.Close()
+	_ = s.listener.Close() // fails only on a closed listener
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range s.servers {
@@ -148,6 +168,33 @@
 	once        sync.Once
 	closed      chan struct{}
 	address     net.Addr
+
+	mu     sync.Mutex
+	silent map[net.Conn]struct{} // connections that have carried no byte of a request yet
+}
+
+// trackSilent is the server's ConnState function.
+func (h *handoffServer) trackSilent(c net.Conn, state http.ConnState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if state == http.StateNew {
+		h.silent[c] = struct{}{}
+	} else {
+		delete(h.silent, c)
+	}
+}
+
+// shutDown closes the idle connections, and each of the others after its answer. It waits
+// for them until ctx ends, but not for connections that have carried no request.
+func (h *handoffServer) shutDown(ctx context.Context) {
+	h.mu.Lock()
+	for c := range h.silent {
+		c.Close()
+	}
+	h.mu.Unlock()
+	if err := h.server.Shutdown(ctx); err != nil {
+		klog.V(1).InfoS("Connections of callers were still in use", "err", err)
+	}
 }
 
 func (h *handoffServer) handOff(c net.Conn) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -20,13 +20,15 @@
 	// Release releases this host's shares and returns after the ownership table shows
 	// the release.
 	Release func()
-	exited  chan drain.Exit
+	// Conclude ends everything in flight, so that it is answered before the stop ends.
+	Conclude func()
+	exited   chan drain.Exit
 }
 
 // New returns the lifecycle of a starting host.
 func New(cfg drain.Config) *Lifecycle {
 	l := &Lifecycle{
-		host: drain.NewHostLifecycle(cfg), Announce: func(drain.Phase) {}, Release: func() {}, exited: make(chan drain.Exit, 1),
+		host: drain.NewHostLifecycle(cfg), Announce: func(drain.Phase) {}, Release: func() {}, Conclude: func() {}, exited: make(chan drain.Exit, 1),
 	}
 	l.step.Tick, l.step.Next, l.step.Perform = l.host.Tick, l.host.Next, l.perform
 	return l
@@ -43,6 +45,9 @@
 				l.Release()
 				l.step.Step(l.host.SharesReleased)
 			}()
+		case drain.Conclude:
+			klog.InfoS("Planned stop concludes the requests in flight", "inFlight", l.InFlight())
+			l.Conclude()
 		case drain.Exit:
 			l.exited <- a
 		}
@@ -55,16 +60,31 @@
 	l.step.Step(func(time.Time) []drain.Action { return l.host.SetConfiguration(out) })
 }
 
+// SetConfig changes the settings of a planned stop that has not begun.
+func (l *Lifecycle) SetConfig(cfg drain.Config) {
+	l.step.Step(func(time.Time) []drain.Action {
+		l.host.SetConfig(cfg)
+		return nil
+	})
+}
+
 // Begin registers a new request and reports whether it is accepted.
-func (l *Lifecycle) Begin(w drain.Work) bool {
+func (l *Lifecycle) Begin(r drain.Request) bool {
 	accepted := false
 	l.step.Step(func(now time.Time) []drain.Action {
-		accepted = l.host.Begin(now, w)
+		accepted = l.host.Begin(now, r)
 		return nil
 	})
 	return accepted
 }
 
+// Accepts reports whether a request would be accepted, and registers nothing.
+func (l *Lifecycle) Accepts(r drain.Request) bool {
+	accepted := false
+	l.step.View(func(now time.Time) { accepted = l.host.Accepts(now, r) })
+	return accepted
+}
+
 // End reports that an accepted request has finished.
 func (l *Lifecycle) End(w drain.Work) {
 	l.step.Step(func(now time.Time) []drain.Action { return l.host.End(now, w) })
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -74,6 +74,7 @@
 	cfg        Config
 	stripes    []*stripe
 	nextStripe atomic.Uint64
+	concluded  atomic.Bool
 }
 
 // stripe holds the state that a subset of the queries shares under one lock.
@@ -130,6 +131,9 @@
 		r.groups = append(r.groups, g.Name)
 	}
 	r.start(plan)
+	if e.concluded.Load() {
+		r.conclude()
+	}
 	select {
 	case <-r.done:
 		return r.finish, nil
@@ -254,6 +258,17 @@
 	})
 }
 
+// Conclude ends all running queries and those that start later, each with the parts that
+// it has.
+func (e *Executor) Conclude() {
+	e.concluded.Store(true)
+	e.forEach((*Run).conclude)
+}
+
+func (r *Run) conclude() {
+	r.step(func(now time.Time) []query.Action { return r.machine.Conclude(now) })
+}
+
 // Exclude makes all running queries stop new attempts at the excluded upstreams.
 func (e *Executor) Exclude(exclusion query.Exclusion) {
 	e.forEach(func(r *Run) {
--- a/query/abort.go
+++ b/query/abort.go
@@ -10,6 +10,22 @@
 	}
 	m.cancelAll(now, false)
 	m.finished = true
+	return m.takeActions()
+}
+
+// Conclude ends a query before its time, with the parts that it has: an answer if they
+// reach the minimum coverage, and a refusal otherwise.
+func (m *Machine) Conclude(now time.Time) []Action {
+	if !m.started || m.finished {
+		return nil
+	}
+	m.concluded = true
+	m.finish(now)
+	return m.takeActions()
+}
+
+// takeActions returns the actions of the present event.
+func (m *Machine) takeActions() []Action {
 	actions := m.actions
 	m.actions = nil
 	return actions
--- a/query/action.go
+++ b/query/action.go
@@ -16,6 +16,9 @@
 	// ErrBelowMinimum means that the coverage reached is below the minimum of the
 	// contract.
 	ErrBelowMinimum = errors.New("coverage below the contract's minimum")
+	// ErrConcluded means that the query was ended before its time and its coverage was
+	// below the minimum.
+	ErrConcluded = errors.New("ended early because the host stops")
 	// ErrNoCommonSnapshot means that no snapshot is held by enough services to reach
 	// the minimum coverage.
 	ErrNoCommonSnapshot = errors.New("no common snapshot")
@@ -95,6 +98,8 @@
 type Counts struct {
 	// Primary is the number of attempts that Start sends.
 	Primary int
+	// Tries is the largest number of attempts of a sub-request that may have run.
+	Tries int
 	// Hedges and Retries are charged to the RetryBudget.
 	Hedges, Retries int
 	// BudgetExhausted is the number of sub-requests with a hedge or retry that was
@@ -115,7 +120,7 @@
 
 // Refusal is the error of a query without an answer.
 type Refusal struct {
-	Cause    error // ErrBelowMinimum or ErrNoCommonSnapshot
+	Cause    error // ErrBelowMinimum, ErrConcluded or ErrNoCommonSnapshot
 	Coverage *big.Rat
 	Minimum  *big.Rat
 }
--- a/query/machine.go
+++ b/query/machine.go
@@ -127,6 +127,7 @@
 	latencyGoalPassed bool   // an event was handled at or after the latency goal
 	started           bool
 	finished          bool
+	concluded         bool          // by Conclude
 	openTasks         int           // number of tasks in states waiting and inFlight
 	due               time.Duration // lower bound of the tasks' due times
 	abandoned         bool          // finished early because the minimum coverage can't be reached
@@ -385,9 +386,7 @@
 			m.finish(now)
 		}
 	}
-	actions := m.actions
-	m.actions = nil
-	return actions
+	return m.takeActions()
 }
 
 // mayFinish reports whether the query can finish at the given time.
@@ -413,7 +412,10 @@
 	reached := f.Answer.Coverage
 	if reached.Cmp(m.minimum) < 0 {
 		f.Refusal = &Refusal{Cause: ErrBelowMinimum, Coverage: reached, Minimum: m.minimum}
-		if m.limitedBySnapshot(f.Answer) {
+		switch {
+		case m.concluded:
+			f.Refusal.Cause = ErrConcluded
+		case m.limitedBySnapshot(f.Answer):
 			f.Refusal.Cause = ErrNoCommonSnapshot
 		}
 		f.Answer.Parts = nil
@@ -425,6 +427,9 @@
 
 func (m *Machine) answer() Answer {
 	a := Answer{Snapshot: m.snapshot, Parts: m.parts, Coverage: m.coverageReached(), Counts: m.counts}
+	for i := range m.tasks {
+		a.Counts.Tries = max(a.Counts.Tries, m.tasks[i].tries)
+	}
 	a.Groups = make([]GroupCoverage, len(m.groups))
 	for i := range m.groups {
 		a.Groups[i] = m.groupCoverage(i)
