watchers: the history of a list keeps one version of each object, bounded in bytes

Cause: each list kept its last 512 responses whole. Memory rose by about a version with each version and never fell.

Tests: TestHistoryKeepsOneVersionOfAnObject fails on the code before (all 1,000 versions are within its bound of 512 responses and up to 512 are kept). TestHistoryIsBounded asked for 512 responses; it is now a property: never more bytes than the bound, and every host that the history serves reaches the present state, whatever came, changed and went.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -60,7 +60,7 @@
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreAddress, registry)
 	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress})
-	group := watchers.New(s.Bounds.WatcherConfig(platform.WatchSlack), s.Self(), node)
+	group := watchers.New(s.WatcherConfig(platform.WatchSlack), s.Self(), node)
 	newSource := func(list string, objects watchers.StoreList) follow.Source[json.RawMessage] {
 		return group.Source(list, objects)
 	}
--- a/watchers/list.go
+++ b/watchers/list.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,27 +24,19 @@
 	errStoreUnavailable = errors.New("the store was unavailable")
 )
 
-// maxBatches limits the changes kept for hosts that know an earlier revision.
-const maxBatches = 512
-
 // Object is one object of a list, as the store returned it.
 type Object = follow.Item[json.RawMessage]
 
-// errRevisionTooOld reports that another host asked for changes after a revision for which
-// not all are kept.
-var errRevisionTooOld = errors.New("not all changes after the revision are kept")
-
 // list holds the recent changes of one list of the store, to pass them on. Whole lists
 // are not passed on: the store's link and processor can serve them to many hosts that
 // start together, those of a small host can't.
 //
-// Invariants: batches hold every change after oldest, up to revision, in order, but for
-// collapsed ones; known holds the names and revisions of all objects at revision.
+// Invariants: history holds the changes up to revision; known holds the names and revisions
+// of all objects at revision.
 type list struct {
 	mu       sync.Mutex
 	listed   bool
-	batches  []batch
-	oldest   uint64
+	history  *history
 	revision uint64
 	known    map[string]uint64
 
@@ -55,19 +46,10 @@
 	changed      chan struct{} // closed at the next change
 }
 
-// batch holds the changes of one response.
-type batch struct {
-	revision uint64
-	objects  []Object
-	// collapsed is set if the batch only leads from the state at the revision after to
-	// that at revision: an object that came and went in between is not in it. It is of no
-	// use to a host that knows a revision in between.
-	collapsed bool
-	after     uint64
+func newList(maxBytes int) *list {
+	return &list{history: newHistory(maxBytes), changed: make(chan struct{}), known: map[string]uint64{}}
 }
 
-func newList() *list { return &list{changed: make(chan struct{}), known: map[string]uint64{}} }
-
 // replace records that this host has read a whole list. If it had read one before, the
 // difference is passed on like a change, so that the other hosts need not read the whole
 // list when the store has lost its history.
@@ -75,9 +57,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.listed && a.Revision >= l.revision {
-		l.append(batch{revision: a.Revision, objects: l.difference(a.Items), collapsed: true, after: l.revision})
+		l.history.addGap(l.revision, a.Revision)
+		l.history.add(l.difference(a.Items), a.Revision)
 	} else {
-		l.batches, l.oldest = nil, a.Revision
+		l.history.restart(a.Revision)
 	}
 	l.listed = true
 	l.revision = a.Revision
@@ -125,17 +108,11 @@
 		return
 	}
 	l.learn(a.Items)
-	l.append(batch{revision: l.revision, objects: a.Items, collapsed: collapsed, after: after})
-	l.notify()
-}
-
-// append adds a batch and drops the oldest one if there are too many.
-func (l *list) append(b batch) {
-	if len(l.batches) == maxBatches {
-		l.oldest = l.batches[0].revision
-		l.batches = slices.Delete(l.batches, 0, 1)
+	if collapsed {
+		l.history.addGap(after, l.revision)
 	}
-	l.batches = append(l.batches, b)
+	l.history.add(a.Items, l.revision)
+	l.notify()
 }
 
 func (l *list) notify() {
@@ -201,21 +178,9 @@
 		return s, errStale
 	}
 	s.response.Revision = l.revision
-	if from < l.oldest {
-		return s, errors.Wrapf(errRevisionTooOld, "revision %d, kept since %d", from, l.oldest)
-	}
-	for _, b := range l.batches {
-		if b.revision <= from {
-			continue
-		}
-		if b.collapsed && from > b.after {
-			return s, errors.Wrapf(errRevisionTooOld, "revision %d, between lists of %d and %d", from, b.after, b.revision)
-		}
-		s.response.Items = append(s.response.Items, b.objects...)
-		s.hasChanges = true
-		s.collapsed = s.collapsed || b.collapsed
-	}
-	return s, nil
+	var err error
+	s.response.Items, s.hasChanges, s.collapsed, err = l.history.since(from)
+	return s, err
 }
 
 // waitForChanges returns the changes after a revision as soon as there are any. It
--- a/watchers/list_test.go
+++ b/watchers/list_test.go
@@ -9,10 +9,22 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
 
 	"github.com/marigoldlever/marigoldlever/follow"
 )
 
+const (
+	// testHistoryBytes bounds the history in these tests; largeBytes is the size of a large
+	// object.
+	testHistoryBytes = 10 << 10
+	largeBytes       = 1 << 10
+)
+
+func largeObject(name string, revision uint64) Object {
+	return Object{Name: name, Revision: revision, Value: make(json.RawMessage, largeBytes)}
+}
+
 type response = follow.Response[json.RawMessage]
 
 func object(name string, revision uint64) Object {
@@ -22,7 +34,7 @@
 // Guards against changes that are passed on twice, out of order or not at all to a host
 // that knows an earlier revision.
 func TestListReturnsChangesAfterRevision(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	l.recordCall(t0, true)
 	l.replace(response{Revision: 10})
 	l.apply(response{Items: []Object{object("c", 12)}, Revision: 12}, l.revision, false)
@@ -46,31 +58,66 @@
 	}
 }
 
-// Guards against a history that grows without limit, or has a gap after the oldest
-// changes are dropped.
-func TestHistoryIsBounded(t *testing.T) {
-	l := newList()
+// Guards against a history that grows with each version of an object, as the process did
+// until it was killed for its memory: only the last one is kept.
+func TestHistoryKeepsOneVersionOfAnObject(t *testing.T) {
+	l := newList(testHistoryBytes)
 	l.recordCall(t0, true)
 	l.replace(response{Revision: 0})
-	for i := range uint64(maxBatches + 10) {
-		l.apply(response{Items: []Object{object("a", i+1)}, Revision: i + 1}, l.revision, false)
-	}
-	if len(l.batches) != maxBatches || l.oldest != 10 {
-		t.Errorf("%d batches are kept since revision %d", len(l.batches), l.oldest)
+	const versions = 1000
+	for i := range uint64(versions) {
+		l.apply(response{Items: []Object{largeObject("a", i+1), object("b", i+1)}, Revision: i + 1}, l.revision, false)
 	}
-	if s, err := l.changesAfter(t0, 10, time.Second); err != nil || len(s.response.Items) != maxBatches {
-		t.Errorf("%d changes, %v", len(s.response.Items), err)
+	if n := l.history.changes.Len(); n != 2 || l.history.bytes > 2*changeOverhead+largeBytes+100 {
+		t.Errorf("%d changes of %d bytes are kept, want the last one of each object", n, l.history.bytes)
 	}
-	if _, err := l.changesAfter(t0, 9, time.Second); !errors.Is(err, errRevisionTooOld) {
-		t.Errorf("dropped changes: %v, want errRevisionTooOld", err)
+	for _, from := range []uint64{0, versions / 2, versions - 1} {
+		s, err := l.changesAfter(t0, from, time.Second)
+		if err != nil || len(s.response.Items) != 2 || s.response.Items[0].Revision != versions {
+			t.Errorf("from %d: %d changes, %v", from, len(s.response.Items), err)
+		}
 	}
 }
 
+// Guards against a history that grows without limit, or has a gap after the oldest
+// changes are dropped.
+func TestHistoryIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newList(testHistoryBytes)
+		l.recordCall(t0, true)
+		l.replace(response{Revision: 0})
+		states := []hostState{{}} // by revision
+		for i := range uint64(rapid.IntRange(1, 60).Draw(t, "changes")) {
+			o := largeObject(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "object")), i+1)
+			o.Removed = rapid.IntRange(0, 3).Draw(t, "removed") == 0
+			l.apply(response{Items: []Object{o}, Revision: i + 1}, l.revision, false)
+			state := maps.Clone(states[i])
+			state.apply([]Object{o})
+			states = append(states, state)
+			if l.history.bytes > testHistoryBytes {
+				t.Fatalf("%d bytes are kept", l.history.bytes)
+			}
+		}
+		for from, state := range states {
+			s, err := l.changesAfter(t0, uint64(from), time.Second)
+			if errors.Is(err, errRevisionTooOld) && uint64(from) < l.history.oldest {
+				continue
+			}
+			if state.apply(s.response.Items); err != nil || !maps.Equal(state, states[len(states)-1]) {
+				t.Fatalf("from %d: the host knows %v, %v, want %v", from, state, err, states[len(states)-1])
+			}
+		}
+		if _, err := l.changesAfter(t0, l.revision-1, time.Second); err != nil {
+			t.Errorf("the last change is not kept: %v", err)
+		}
+	})
+}
+
 // Guards against a watcher whose own copy grows stale and that keeps other hosts
 // waiting or answers them, and against one that passes on lists without an answer from
 // the store.
 func TestStaleListIsNotPassedOn(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	l.replace(response{Revision: 1})
 	if _, err := l.changesAfter(time.Now(), 1, time.Second); !errors.Is(err, errStale) {
 		t.Errorf("list without an answer from the store: %v, want errStale", err)
@@ -89,7 +136,7 @@
 // Guards against a watcher that has just started and sends its callers to the store,
 // and against callers that hang if the watcher never reads its list.
 func TestCallersWaitForTheFirstList(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	time.AfterFunc(50*time.Millisecond, func() {
 		l.recordCall(time.Now(), true)
 		l.replace(response{Revision: 1})
@@ -97,14 +144,14 @@
 	if s, err := l.waitForChanges(context.Background(), 0, time.Second, time.Second); !errors.Is(err, errRevisionTooOld) || !s.listed {
 		t.Errorf("answer is %+v, %v", s.response, err)
 	}
-	if _, err := newList().waitForChanges(context.Background(), 0, time.Second, time.Second); !errors.Is(err, errStale) {
+	if _, err := newList(testHistoryBytes).waitForChanges(context.Background(), 0, time.Second, time.Second); !errors.Is(err, errStale) {
 		t.Errorf("without a list: %v, want errStale", err)
 	}
 }
 
 // Guards against outages of the store that a watcher does not report to its callers.
 func TestOutageIsReported(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	l.replace(response{Revision: 1})
 	l.recordCall(t0, true)
 	if s, _ := l.changesAfter(t0, 1, time.Minute); s.recovered >= 0 {
@@ -134,7 +181,7 @@
 // Guards against hosts that have to read a whole list because their watcher read one, and
 // against a difference that does not lead to the list.
 func TestWholeListIsPassedOnAsDifference(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	l.recordCall(t0, true)
 	l.replace(response{Items: []Object{object("a", 3), object("b", 4), object("c", 5)}, Revision: 10})
 	l.apply(response{Items: []Object{object("d", 12)}, Revision: 12}, 10, false)
@@ -159,7 +206,7 @@
 // read the list: an object that came and went in between would stay known.
 func TestDifferenceIsRefusedInBetween(t *testing.T) {
 	for _, items := range [][]Object{{object("a", 3)}, {object("a", 3), object("c", 18)}} {
-		l := newList()
+		l := newList(testHistoryBytes)
 		l.recordCall(t0, true)
 		l.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
 		l.replace(response{Items: items, Revision: 20})
@@ -169,7 +216,7 @@
 			}
 		}
 		// A host that got the difference and now serves others must refuse them as well.
-		other := newList()
+		other := newList(testHistoryBytes)
 		other.recordCall(t0, true)
 		other.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
 		s, err := l.changesAfter(t0, 10, time.Second)
@@ -185,7 +232,7 @@
 
 // Guards against a list that is older than the copy and is passed on as a difference.
 func TestOlderListEndsHistory(t *testing.T) {
-	l := newList()
+	l := newList(testHistoryBytes)
 	l.recordCall(t0, true)
 	l.replace(response{Items: []Object{object("a", 3)}, Revision: 10})
 	l.replace(response{Items: []Object{object("b", 2)}, Revision: 8})
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -42,6 +42,9 @@
 	PollTimeout time.Duration
 	// BatchDelay is a watcher's pause after a response with changes.
 	BatchDelay time.Duration
+	// HistoryBytes bounds the recent changes that are kept of each list for other hosts. A
+	// host that lags behind them reads the list from the store.
+	HistoryBytes int
 	// ReplyGrace is how much later than the poll timeout a response may arrive.
 	ReplyGrace time.Duration
 }
@@ -164,7 +167,7 @@
 func (rl *Relay) Source(name string, store StoreList) *Source {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	s := &Source{relay: rl, name: name, store: store, list: newList()}
+	s := &Source{relay: rl, name: name, store: store, list: newList(rl.cfg.HistoryBytes)}
 	rl.lists[name] = s.list
 	return s
 }
--- a/watchers/watchers_test.go
+++ b/watchers/watchers_test.go
@@ -19,6 +19,7 @@
 
 // testConfig has short times to keep the tests fast.
 var testConfig = Config{
+	HistoryBytes:      testHistoryBytes,
 	DirectPollTimeout: time.Second, DirectBatchDelay: 20 * time.Millisecond,
 	PollTimeout: 200 * time.Millisecond, BatchDelay: 10 * time.Millisecond, ReplyGrace: 300 * time.Millisecond,
 }
