--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -17,11 +17,11 @@
 	// Connections that look idle are not closed sooner, because a request may just have
 	// arrived on one of them.
 	refusalTime = 250 * time.Millisecond
-	// openEnded is the time after the stop signal in which the platform allows requests to
-	// be accepted that may still be in progress at the end of the grace period. It is at
-	// most openEndedShare of the grace period.
-	openEnded      = 3 * time.Second
-	openEndedShare = 0.5
+	// openEnded is the time in which requests are accepted that may still be in progress at
+	// the end of the grace period. The platform allows 3 s after its signal, which takes time
+	// to arrive. It is at most openEndedShare of the grace period.
+	openEnded      = 2500 * time.Millisecond
+	openEndedShare = 0.4
 	// answerTime is reserved at the end of the grace period to answer the requests that are
 	// still in progress and to end. It is at most answerShare of the grace period.
 	answerTime  = 500 * time.Millisecond
