--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -117,8 +117,8 @@
 		if s == syscall.SIGTERM && err != nil {
 			f.t.Errorf("%s ended with %v after SIGTERM", h.name, err)
 		}
-	case <-time.After(grace):
-		f.t.Errorf("%s has not ended %v after signal %v", h.name, grace, s)
+	case <-time.After(f.grace):
+		f.t.Errorf("%s has not ended %v after signal %v", h.name, f.grace, s)
 		_ = h.command.Process.Kill() // the failure is reported above
 		<-ended
 	}
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -76,16 +76,18 @@
 	behaviour   atomic.Int32
 	arrivedAt   atomic.Int64 // Unix nanoseconds of the last request
 	signals     signals
+	// run is called for each request that the replica runs; nil for no work.
+	run func(request *http.Request)
 }
 
-func startReplica(t *testing.T, service, id string, counter *runCounter) *replica {
+func startReplica(t *testing.T, service, id string, counter *runCounter, run func(*http.Request)) *replica {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	r := &replica{id: id, service: service, runCounter: counter, relay: startRelay(t, l.Addr().String())}
+	r := &replica{id: id, service: service, runCounter: counter, relay: startRelay(t, l.Addr().String()), run: run}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -142,6 +144,9 @@
 		r.runCounter.add(id)
 	}
 	r.runCounter.addReplica(id, r.service, r.id)
+	if r.run != nil {
+		r.run(request)
+	}
 	if mode == replyLate {
 		time.Sleep(150 * time.Millisecond)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,10 +62,7 @@
 // of a request that was reported as not run, planned stops that abort no request, no requests
 // to a replica that has drained or said that it is leaving or paused, and a bounded memory.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "marigoldleverd")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marigoldleverd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildHost(t)
 	allSeeds := make([]uint64, 0, *seeds+len(regressions))
 	for i := range *seeds {
 		allSeeds = append(allSeeds, *firstSeed+uint64(i))
@@ -78,6 +75,16 @@
 	}
 }
 
+// buildHost builds the program of the hosts.
+func buildHost(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "marigoldleverd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marigoldleverd").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // host is one host process of the system under test.
 type host struct {
 	name, caller, readiness string
@@ -95,10 +102,13 @@
 	binary         string
 	tierSize       tierSize
 	store          *store
+	storeAddress   string
 	hosts          []*host
 	counter        *runCounter
 	starts         atomic.Int64 // of host processes
 	stop           chan struct{}
+	grace          time.Duration
+	run            func(*http.Request) // of each replica; may be nil
 	faultMu        sync.Mutex
 	lastStoreFault time.Time // end of the last store fault
 
@@ -110,9 +120,7 @@
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
-	f := &fleet{t: t, binary: binary, tierSize: sizes[seed%uint64(len(sizes))], store: newStore(), counter: &runCounter{count: map[string]int{}, replicasOf: map[string][]string{}}, stop: make(chan struct{})}
-	server := httptest.NewServer(f.store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	f := newFleet(t, binary, sizes[seed%uint64(len(sizes))], grace)
 	for i := range f.tierSize.shards {
 		for j := range f.tierSize.replicas {
 			f.addReplica(shardName(i), fmt.Sprintf("i-%d-%d", i, j))
@@ -120,15 +128,9 @@
 	}
 	f.configure(1)
 	for i := range f.tierSize.hosts {
-		f.hosts = append(f.hosts, f.newHost(i, strings.TrimPrefix(server.URL, "http://")))
-	}
-	for _, h := range f.hosts {
-		f.start(h)
-	}
-	t.Cleanup(f.killAll)
-	for _, h := range f.hosts {
-		f.awaitReady(h)
+		f.hosts = append(f.hosts, f.newHost(i))
 	}
+	f.startAll()
 	var callers sync.WaitGroup
 	for i := range concurrentCallers {
 		callers.Go(func() { f.sendRequests(rand.New(rand.NewPCG(seed, uint64(i)))) })
@@ -139,13 +141,36 @@
 	f.checkAfterRun()
 }
 
+// newFleet returns a fleet without hosts and replicas.
+func newFleet(t *testing.T, binary string, size tierSize, grace time.Duration) *fleet {
+	f := &fleet{
+		t: t, binary: binary, tierSize: size, store: newStore(), grace: grace, stop: make(chan struct{}),
+		counter: &runCounter{count: map[string]int{}, replicasOf: map[string][]string{}},
+	}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	f.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	return f
+}
+
+// startAll starts the hosts and waits until they are ready.
+func (f *fleet) startAll() {
+	for _, h := range f.hosts {
+		f.start(h)
+	}
+	f.t.Cleanup(f.killAll)
+	for _, h := range f.hosts {
+		f.awaitReady(h)
+	}
+}
+
 func shardName(i int) string { return fmt.Sprintf("shard-%02d", i) }
 
 // minimumParts returns the number of parts that a response must have.
 func (f *fleet) minimumParts() int { return int(minimumShare * float64(f.tierSize.shards)) }
 
 func (f *fleet) addReplica(service, id string) {
-	r := startReplica(f.t, service, id, f.counter)
+	r := startReplica(f.t, service, id, f.counter, f.run)
 	f.mu.Lock()
 	f.replicas = append(f.replicas, r)
 	f.mu.Unlock()
@@ -169,19 +194,19 @@
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 }
 
-func (f *fleet) newHost(number int, storeAddress string) *host {
+func (f *fleet) newHost(number int) *host {
 	name, cores := fmt.Sprint("front-", number), 0.2
 	if number < f.tierSize.strong {
 		cores = 0.8
 	}
-	h := &host{name: name, caller: freeAddress(f.t), readiness: freeAddress(f.t), storeRelay: startRelay(f.t, storeAddress)}
+	h := &host{name: name, caller: freeAddress(f.t), readiness: freeAddress(f.t), storeRelay: startRelay(f.t, f.storeAddress)}
 	h.settings = filepath.Join(f.t.TempDir(), "boot.json")
 	internal := []int{freePort(f.t), freePort(f.t)}
 	slices.Sort(internal)
 	data, err := json.Marshal(map[string]any{
 		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": hostMemoryMB, "cpu_share": cores},
 		"listen":   map[string]string{"front": h.caller, "readiness": h.readiness},
-		"bounds":   map[string]any{"drain_ms": 3000, "contact_ms": 4000, "grace_s": 6, "config_apply_ms": 3000, "evacuation_ms": 5000, "retry_budget_ratio": 0.2, "retry_budget_slack": 50, "budget_window_s": 10, "cold_slack": 5},
+		"bounds":   map[string]any{"drain_ms": 3000, "contact_ms": 4000, "grace_s": f.grace.Seconds(), "config_apply_ms": 3000, "evacuation_ms": 5000, "retry_budget_ratio": 0.2, "retry_budget_slack": 50, "budget_window_s": 10, "cold_slack": 5},
 		"platform": map[string]string{"address": h.storeRelay.address()},
 	})
 	if err != nil {
