entry: one place writes answers, by a table of verdicts; a request without one cuts its connection

Cause: the context of a request ends with the caller's side. dispatch and forward then returned without an answer, and net/http wrote an empty success.

Change: every way of a request returns an answer, and respond alone writes it; without a verdict the connection is cut. verdict.go maps what is known of a request (kind, sent, came back, what ended it) to the status and what it promises. Request lines name the verdict. A request counts as in progress until its answer is written, as before.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -35,57 +35,58 @@
 // ServeHTTP handles one request of a caller.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	out := &outcome{started: time.Now()}
+	defer e.finish(out)
+	e.respond(w, out, e.handle(r, out))
+}
+
+// finish releases what a request and its answer needed.
+func (e *Entry) finish(out *outcome) {
+	out.close()
+	if out.accepted {
+		e.lifecycle.End(drain.CallerWork)
+	}
+}
+
+// handle routes a request and returns its answer.
+func (e *Entry) handle(r *http.Request, out *outcome) answer {
 	request, timeout, err := e.callers.ReadRequest(r)
 	out.id = request.ID
 	if err != nil {
-		e.refuse(w, out, http.StatusBadRequest, 0, err.Error())
-		return
+		return refusal(verdictMalformed, 0, err.Error())
 	}
 	table := e.view.table.Load()
 	if table == nil || !e.view.complete(out.started) {
-		e.refuse(w, out, http.StatusServiceUnavailable, notReadyRetry, "this host has no configuration yet")
-		return
+		return refusal(verdictNotReady, notReadyRetry, "this host has no configuration yet")
 	}
 	out.version = table.Version
 	route, ok := findRoute(table, &request)
 	if !ok {
-		e.refuse(w, out, http.StatusNotFound, 0, "no route matches")
-		return
+		return refusal(verdictNoRoute, 0, "no route matches")
 	}
-	out.route = route.Name
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	out.route, out.timeout = route.Name, timeout
 	work := drain.Request{Work: drain.CallerWork, Deadline: out.started.Add(timeout), Repeatable: route.Idempotent}
-	if !e.lifecycle.Begin(work) {
-		e.refuseLeaving(w, out)
-		return
+	if out.accepted = e.lifecycle.Begin(work); !out.accepted {
+		return refuseLeaving()
 	}
-	defer e.lifecycle.End(drain.CallerWork)
-	if request.Body, err = readBody(w, r, table.Limits.BodyBytes); err != nil {
-		e.refuseBody(w, out, err)
-		return
+	if request.Body, err = readBody(r, table.Limits.BodyBytes); err != nil {
+		return refuseBody(err)
 	}
 	if !e.lifecycle.Accepts(work) { // the body may have taken long to arrive
-		e.refuseLeaving(w, out)
-		return
+		return refuseLeaving()
 	}
 	latencyGoal := e.latencyGoalFor(r.Context(), route, timeout)
-	if !e.offload.forward(w, r, out, route, &request, timeout, latencyGoal) {
-		e.dispatch(w, r, out, route, &request, timeout, latencyGoal)
+	if a, ok := e.offload.forward(r.Context(), out, route, &request, latencyGoal); ok {
+		return a
 	}
+	return e.dispatch(r.Context(), out, route, &request, latencyGoal)
 }
 
 // refuseLeaving refuses a request that may last longer than this host.
-func (e *Entry) refuseLeaving(w http.ResponseWriter, out *outcome) {
-	e.refuse(w, out, http.StatusServiceUnavailable, leavingRetry, "this host is leaving; the request has not run")
-}
-
-// closeIfLeaving makes an answer the last one on its connection if this host is leaving.
-func (e *Entry) closeIfLeaving(w http.ResponseWriter) {
-	if phase := e.lifecycle.Phase(); phase == drain.Leaving || phase == drain.Stopped {
-		w.Header().Set("Connection", "close")
-	}
+func refuseLeaving() answer {
+	return refusal(verdictLeaving, leavingRetry, "this host is leaving; the request has not run")
 }
 
 // findRoute returns the route of a request.
@@ -95,68 +96,122 @@
 }
 
 // readBody reads the whole body, because it may have to be sent to several replicas.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = defaultLimits.BodyBytes
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	return io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 }
 
-func (e *Entry) refuseBody(w http.ResponseWriter, out *outcome, err error) {
+func refuseBody(err error) answer {
+	a := refusal(verdictMalformed, 0, "the body could not be read")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		e.refuse(w, out, http.StatusRequestEntityTooLarge, 0, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
-		return
+		a = refusal(verdictTooLarge, 0, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
 	}
-	e.refuse(w, out, http.StatusBadRequest, 0, "the body could not be read")
+	a.closes = true // the rest of the body is not read
+	return a
 }
 
-// dispatch sends a request to replicas and answers it. Both durations count from the
-// request's start.
-func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, timeout, latencyGoal time.Duration) {
+// dispatch sends a request to replicas and returns its answer. The latency goal counts from
+// the request's start.
+func (e *Entry) dispatch(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, latencyGoal time.Duration) answer {
 	names := servicesOf(route)
 	if e.overload.refuses(out.started, route, names) {
-		e.refuseUnanswered(w, out, false, refusedRetryAfter(route), "the replicas are overloaded", timeout)
-		return
+		return out.refuseUnsent(route, refusedRetryAfter(route), "the replicas are overloaded")
 	}
 	available := e.availability(time.Now(), route, names)
 	if resumes := available.resumesIn(); resumes > 0 {
-		e.refuseUnanswered(w, out, false, resumes, pausedRefusal, timeout)
-		return
+		return out.refuseUnsent(route, resumes, pausedRefusal)
 	}
 	if !available.enoughReachable() {
-		w.Header().Set("Connection", "close")
-		e.refuseUnanswered(w, out, false, isolatedRetryAfter(route, e.reach.unreachableFor(out.started)), "too few replicas are in reach", timeout)
-		return
+		a := out.refuseUnsent(route, isolatedRetryAfter(route, e.reach.unreachableFor(out.started)), "too few replicas are in reach")
+		a.closes = true
+		return a
 	}
 	if !available.enoughConnections(route) {
-		e.refuseUnanswered(w, out, false, refusedRetryAfter(route), "too few replicas have room", timeout)
-		return
+		return out.refuseUnsent(route, refusedRetryAfter(route), "too few replicas have room")
 	}
 	passed := time.Since(out.started)
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
-	finish, err := e.execute(r.Context(), out, route, request, available.services, timeout-passed, latencyGoal-passed)
-	defer out.sender.close()
+	finish, err := e.execute(ctx, out, route, request, available.services, out.timeout-passed, latencyGoal-passed)
 	if err != nil {
-		e.reportCallerLeft(out)
-		return
+		return answer{verdict: verdictCallerLeft}
 	}
 	out.latencyGoal = latencyGoal
 	switch {
 	case finish.Refusal != nil:
-		e.writeFailure(w, out, route, finish, timeout)
+		return e.failed(out, route, finish)
 	case len(route.Shards) > 0:
 		body, signatures := out.merge(route, finish)
-		e.writeMerged(w, out, route, body, signatures)
-	default:
-		out.sender.mu.Lock()
-		reply := out.sender.replies[finish.Answer.Parts[0].Attempt]
-		out.sender.mu.Unlock()
-		e.writeReply(w, out, reply)
+		return e.merged(out, route, body, signatures)
+	}
+	return out.answered(route, out.sender.replyTo(finish.Answer.Parts[0].Attempt))
+}
+
+// answered returns a replica's reply as the answer.
+func (o *outcome) answered(route *routing.Route, reply exchange.Reply) answer {
+	f := facts{kind: kindOf(route), sent: mayHaveRun, came: wholeAnswer, cut: ended}
+	return answer{verdict: f.verdict(), reply: reply}
+}
+
+// merged returns merged records as the answer, and updates the estimates with it.
+func (e *Entry) merged(out *outcome, route *routing.Route, body []byte, signatures []string) answer {
+	e.recordAnswer(out, route, body, signatures)
+	f := facts{kind: overShards, sent: mayHaveRun, came: wholeAnswer, cut: ended}
+	return answer{verdict: f.verdict(), body: body, signatures: signatures, missing: len(route.Shards) - len(signatures)}
+}
+
+// failed returns the answer to a request whose query failed: that of a replica that failed,
+// or none.
+func (e *Entry) failed(out *outcome, route *routing.Route, finish query.Finish) answer {
+	out.missing = len(finish.Answer.Groups[0].Missing)
+	f := facts{kind: kindOf(route), sent: notRun, came: nothing, cut: out.cutBy(finish.Refusal)}
+	failure := out.sender.lastFailure()
+	if finish.MayHaveRun || out.tries > 0 {
+		f.sent = mayHaveRun
+		if failure != nil && f.kind == repeatable {
+			f.came = ownFailure
+		}
+	}
+	a := unanswered(f, e.retryAfter(route, finish), finish.Refusal.Error())
+	if f.came == ownFailure {
+		a.reply, a.text = *failure, a.verdict.name
+	}
+	return a
+}
+
+// refuseUnsent returns the answer to a request that this host did not send. Another host may
+// have.
+func (o *outcome) refuseUnsent(route *routing.Route, retryAfter time.Duration, text string) answer {
+	f := facts{kind: kindOf(route), sent: notRun, came: nothing, cut: o.cutBy(nil)}
+	if o.tries > 0 {
+		f.sent = mayHaveRun
 	}
+	return unanswered(f, retryAfter, text)
+}
+
+// unanswered returns the answer to a request that got none.
+func unanswered(f facts, retryAfter time.Duration, text string) answer {
+	a := answer{verdict: f.verdict(), retryAfter: retryAfter, text: text}
+	if f.sent == notRun {
+		a.text = "the request has not run: " + text
+	}
+	return a
+}
+
+// cutBy returns what ended a request that failed with an error.
+func (o *outcome) cutBy(err error) cutSet {
+	switch {
+	case errors.IsAny(err, query.ErrConcluded, errStopping):
+		return hostStops
+	case time.Since(o.started) >= o.timeout-maxFinishMargin:
+		return atDeadline
+	}
+	return ended
 }
 
 // pausedRefusal is the text of a refusal because of pauses that replicas asked for.
@@ -192,15 +247,6 @@
 	return records.TopK(route.MaxRecords, bodies), signatures
 }
 
-// writeMerged answers with merged records.
-func (e *Entry) writeMerged(w http.ResponseWriter, out *outcome, route *routing.Route, body []byte, signatures []string) {
-	out.status = http.StatusOK
-	e.closeIfLeaving(w)
-	out.recordWriteError(e.callers.WriteMerged(w, out.id, body, signatures, len(route.Shards)-len(signatures)))
-	e.recordAnswer(out, route, body, signatures)
-	e.report(out)
-}
-
 // recordAnswer updates the estimates with an answer that this host merged or forwarded.
 func (e *Entry) recordAnswer(out *outcome, route *routing.Route, body []byte, signatures []string) {
 	out.parts, out.missing = len(signatures), len(route.Shards)-len(signatures)
@@ -223,29 +269,6 @@
 	return n
 }
 
-func (e *Entry) writeReply(w http.ResponseWriter, out *outcome, reply exchange.Reply) {
-	out.status, out.parts = reply.Status, 1
-	e.closeIfLeaving(w)
-	out.recordWriteError(e.callers.WriteReply(w, out.id, reply))
-	e.report(out)
-}
-
-// writeFailure answers a request whose query failed. It says that the request has not
-// run only if that is certain.
-func (e *Entry) writeFailure(w http.ResponseWriter, out *outcome, route *routing.Route, finish query.Finish, timeout time.Duration) {
-	out.parts = 0
-	out.missing = len(finish.Answer.Groups[0].Missing)
-	out.sender.mu.Lock()
-	failure := out.sender.failure
-	out.sender.mu.Unlock()
-	if finish.MayHaveRun && failure != nil {
-		out.reason = "replica_failure"
-		e.writeReply(w, out, *failure)
-		return
-	}
-	e.refuseUnanswered(w, out, finish.MayHaveRun, e.retryAfter(route, finish), finish.Refusal.Error(), timeout)
-}
-
 // retryAfter returns when a caller should repeat a request that has not run: after the
 // pauses that replicas asked for, if these are why it failed.
 func (e *Entry) retryAfter(route *routing.Route, finish query.Finish) time.Duration {
@@ -263,24 +286,3 @@
 	available := e.availability(time.Now(), route, lacking)
 	return max(usual, available.resumesIn())
 }
-
-// refuseUnanswered answers a request that got no result. retryAfter applies if it has not
-// run, here or at the host that had it before.
-func (e *Entry) refuseUnanswered(w http.ResponseWriter, out *outcome, mayHaveRun bool, retryAfter time.Duration, text string, timeout time.Duration) {
-	if !mayHaveRun && out.tries == 0 {
-		e.refuse(w, out, http.StatusServiceUnavailable, retryAfter, "the request has not run: "+text)
-		return
-	}
-	status := http.StatusBadGateway
-	if time.Since(out.started) >= timeout-maxFinishMargin {
-		status = http.StatusGatewayTimeout
-	}
-	e.refuse(w, out, status, 0, text)
-}
-
-func (e *Entry) refuse(w http.ResponseWriter, out *outcome, status int, retryAfter time.Duration, text string) {
-	out.status, out.reason = status, text
-	e.closeIfLeaving(w)
-	out.recordWriteError(e.callers.WriteRefusal(w, out.id, status, retryAfter, text))
-	e.report(out)
-}
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -85,25 +85,27 @@
 	o.accepted.Inc(1)
 	ctx, end := o.track(ctx, r.From, call.ID)
 	defer end()
-	out := outcome{started: started, id: call.ID, route: route.Name, version: table.Version, forwardedFrom: r.From}
+	out := outcome{started: started, id: call.ID, route: route.Name, version: table.Version, forwardedFrom: r.From, timeout: timeout}
 	latencyGoal := time.Duration(call.LatencyGoalUS) * time.Microsecond
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(ctx, &out, route, &request, available.services, timeout, latencyGoal)
-	defer out.sender.close()
+	defer out.close()
 	if err != nil {
-		e.reportCallerLeft(&out)
+		out.verdict, out.reason = verdictCallerLeft.name, verdictCallerLeft.name
+		e.report(&out)
 		return nil, err
 	}
 	out.latencyGoal = latencyGoal
 	var reply gatherReply
 	if finish.Refusal != nil {
-		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: e.retryAfter(route, finish).Microseconds()}
-		out.reason = reply.Failure
+		a := e.failed(&out, route, finish)
+		out.verdict, out.reason = a.verdict.name, a.text
+		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: a.retryAfter.Microseconds()}
 		if errors.Is(finish.Refusal, query.ErrConcluded) {
 			reply = gatherReply{Refused: reply.Failure, Tries: finish.Answer.Counts.Tries}
 		}
 	} else {
-		out.status = http.StatusOK
+		out.status, out.verdict = http.StatusOK, verdictMerged.name
 		reply.Body, reply.Signatures = out.merge(route, finish)
 		e.recordAnswer(&out, route, reply.Body, reply.Signatures)
 	}
--- a/internal/entry/offload_send.go
+++ b/internal/entry/offload_send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,71 +14,67 @@
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
-// forward sends a request to a stronger host and answers with its result. It returns
-// false if this host must handle the request itself. Both durations count from the
-// request's start.
-func (o *offloader) forward(w http.ResponseWriter, r *http.Request, out *outcome, route *routing.Route, request *exchange.Request, timeout, latencyGoal time.Duration) bool {
+// forward sends a request to a stronger host and returns its result. It returns false if
+// this host must handle the request itself. The latency goal counts from the request's start.
+func (o *offloader) forward(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, latencyGoal time.Duration) (answer, bool) {
 	host, ok := o.next(out.started, route)
 	if !ok {
-		return false
+		return answer{}, false
 	}
 	out.forwardedTo = host.ID
 	started := time.Now()
 	elapsed := started.Sub(out.started)
 	overhead := time.Duration(o.overheads.expected(host.ID, float64(initialOverhead)))
 	latencyGoal -= o.entry.answers.transmissionTime(route.Name)
-	reply, err := o.call(r.Context(), host, timeout-elapsed, gatherRequest{
+	reply, err := o.call(ctx, host, out.timeout-elapsed, gatherRequest{
 		ID: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header, Body: request.Body,
-		Version: out.version, TimeoutUS: (timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
+		Version: out.version, TimeoutUS: (out.timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
 	})
 	out.latencyGoal = latencyGoal
 	unsent := errors.IsAny(err, peer.ErrConnect, peer.ErrRefused)
+	f := facts{kind: overShards, sent: mayHaveRun, came: nothing, cut: out.cutBy(err)}
 	switch {
-	case r.Context().Err() != nil:
+	case ctx.Err() != nil:
 		o.recordResult(host.ID, offload.Completed) // the result says nothing about the host
-		o.entry.reportCallerLeft(out)
 		o.notifyCallerLeft(host, request.ID)
+		return answer{verdict: verdictCallerLeft}, true
 	case errors.Is(err, errStopping):
 		o.recordResult(host.ID, offload.Completed) // the result says nothing about the host
-		o.entry.refuseUnanswered(w, out, !unsent, leavingRetry, err.Error(), timeout)
 		o.notifyCallerLeft(host, request.ID)
+		if unsent {
+			f.sent = notRun
+		}
+		return unanswered(f, leavingRetry, err.Error()), true
 	case unsent:
 		o.failed.Inc(1)
 		o.recordResult(host.ID, offload.Failed)
 		out.declineReason = err.Error()
-		return false
+		return answer{}, false
 	case err != nil:
 		o.failed.Inc(1)
 		o.recordResult(host.ID, offload.Failed)
-		o.entry.refuseUnanswered(w, out, true, 0, err.Error(), timeout)
+		return unanswered(f, 0, err.Error()), true
 	case reply.Refused != "":
 		o.refused.Inc(1)
 		o.recordResult(host.ID, offload.Refused)
-		out.declineReason = reply.Refused
-		if out.tries = reply.Tries; route.MaxAttempts > 0 && out.tries >= route.MaxAttempts {
-			o.entry.refuseUnanswered(w, out, true, 0, reply.Refused, timeout)
-			return true
+		out.declineReason, out.tries = reply.Refused, reply.Tries
+		if out.tries > 0 && out.tries >= route.MaxAttempts {
+			return unanswered(f, 0, reply.Refused), true
 		}
-		return false
-	default:
-		o.forwarded.Inc(1)
-		o.recordResult(host.ID, offload.Completed)
-		took := time.Since(started) - time.Duration(reply.TookUS)*time.Microsecond
-		o.overheads.observe(host.ID, float64(min(took, maxOverhead)), float64(initialOverhead))
-		o.writeGatherReply(w, out, route, reply, timeout)
+		return answer{}, false
 	}
-	return true
-}
-
-// writeGatherReply answers the caller with another host's result.
-func (o *offloader) writeGatherReply(w http.ResponseWriter, out *outcome, route *routing.Route, reply gatherReply, timeout time.Duration) {
-	e := o.entry
-	if reply.Failure != "" {
-		retryAfter := max(time.Duration(reply.RetryAfterUS)*time.Microsecond, refusedRetryAfter(route))
-		e.refuseUnanswered(w, out, reply.MayHaveRun, retryAfter, reply.Failure, timeout)
-		return
+	o.forwarded.Inc(1)
+	o.recordResult(host.ID, offload.Completed)
+	took := time.Since(started) - time.Duration(reply.TookUS)*time.Microsecond
+	o.overheads.observe(host.ID, float64(min(took, maxOverhead)), float64(initialOverhead))
+	if reply.Failure == "" {
+		return o.entry.merged(out, route, reply.Body, reply.Signatures), true
+	}
+	if !reply.MayHaveRun {
+		f.sent = notRun
 	}
-	e.writeMerged(w, out, route, reply.Body, reply.Signatures)
+	retryAfter := max(time.Duration(reply.RetryAfterUS)*time.Microsecond, refusedRetryAfter(route))
+	return unanswered(f, retryAfter, reply.Failure), true
 }
 
 // call sends a request to the host and returns its reply. The call is aborted when the
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -29,9 +29,19 @@
 	tries         int    // replicas of a part that got the request from that host, if it stopped
 	forwardedFrom string // address of the host that forwarded the request; empty if none
 	started       time.Time
+	timeout       time.Duration // counted from started
+	accepted      bool          // counts as in progress
+	verdict       string
 	latencyGoal   time.Duration // counted from started
 }
 
+// close releases what the answer needed. It must be called after the answer was written.
+func (o *outcome) close() {
+	if o.sender != nil {
+		o.sender.close()
+	}
+}
+
 // recordWriteError records that the answer could not be written because the caller has
 // disconnected.
 func (o *outcome) recordWriteError(err error) {
@@ -40,12 +50,6 @@
 	}
 }
 
-// reportCallerLeft logs a request whose caller disconnected before the answer.
-func (e *Entry) reportCallerLeft(o *outcome) {
-	o.reason = "caller_left"
-	e.report(o)
-}
-
 // report logs the result of a request and updates the metrics.
 func (e *Entry) report(o *outcome) {
 	took := time.Since(o.started)
@@ -54,7 +58,7 @@
 		return
 	}
 	fields := []any{
-		"id", o.id, "route", o.route, "version", o.version, "status", o.status, "ms", float64(took.Microseconds()) / 1000, "goalMS", float64(o.latencyGoal.Microseconds()) / 1000,
+		"id", o.id, "route", o.route, "version", o.version, "status", o.status, "verdict", o.verdict, "ms", float64(took.Microseconds()) / 1000, "goalMS", float64(o.latencyGoal.Microseconds()) / 1000,
 		"parts", o.parts, "missing", o.missing, "hedges", o.counts.Hedges, "retries", o.counts.Retries, "unpaid", o.counts.BudgetExhausted,
 		"redirected", o.counts.Redirected, "reason", o.reason,
 	}
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -104,6 +104,20 @@
 	s.held += bytes
 }
 
+// replyTo returns the reply to an attempt that was answered.
+func (s *sender) replyTo(attempt string) exchange.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replies[attempt]
+}
+
+// lastFailure returns the last failure reply of a replica, or nil if there is none.
+func (s *sender) lastFailure() *exchange.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failure
+}
+
 // close releases the memory of the replies. They must not be used any more.
 func (s *sender) close() {
 	s.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"flag"
@@ -294,6 +295,9 @@
 			return
 		case <-time.After(time.Duration(rng.IntN(30)) * time.Millisecond):
 		}
+		if rng.IntN(leaveEvery) == 0 {
+			f.leaveRequest(f.hosts[rng.IntN(len(f.hosts))], fmt.Sprintf("%016x", rng.Uint64()))
+		}
 		f.sendRequest(client, f.hosts[rng.IntN(len(f.hosts))], fmt.Sprintf("%016x", rng.Uint64()), rng.IntN(3) == 0)
 	}
 }
@@ -330,6 +334,31 @@
 	f.checkResponse(id, once, response, string(body))
 }
 
+// leaveEvery is the number of requests of a caller for each one that it leaves.
+const leaveEvery = 30
+
+// leaveRequest sends a request, ends the sending side of the connection and reads on: what
+// comes must be no success, unless it is whole.
+func (f *fleet) leaveRequest(h *host, id string) {
+	c, err := net.DialTimeout("tcp", h.caller, time.Second)
+	if err != nil {
+		return // the host is ending or starting
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(1500 * time.Millisecond)) // fails only on a closed connection
+	fmt.Fprintf(c, "GET /scatter/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\n\r\n", id)
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // the connection may have been reset
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return
+	}
+	if body, err := io.ReadAll(response.Body); err == nil {
+		f.checkResponse(id, false, response, string(body))
+	}
+}
+
 // checkMissingResponse checks a request without a response. This is allowed only if a kill
 // or a pause of the host may still have had an effect, or if the connection was closed and no
 // run was counted, as when it is closed before the host has read the request.
