peer: a handler's slot is free before its answer is sent

Cause: the answer was sent before the slot was free. A peer that keeps to the limit could be refused.

Change: run encodes the result, the slot is freed, then the answer is sent. The test no longer repeats calls that were refused, so that it is stricter than before, and ends instead of hanging.

--- a/peer/link.go
+++ b/peer/link.go
@@ -203,8 +203,10 @@
 	}
 	go func() {
 		defer l.endHandling()
-		defer func() { <-l.handlerSlots }()
-		l.run(ctx, req)
+		e, err := l.run(ctx, req)
+		// The peer may use the slot again as soon as it has the answer.
+		<-l.handlerSlots
+		l.answer(ctx, req, e, err)
 	}()
 }
 
@@ -264,16 +266,15 @@
 	l.answerError(ctx, req, CodeRefused, reason)
 }
 
-// run decodes a request, runs its handler and sends the answer.
-func (l *link) run(ctx context.Context, req *jsonrpc2.Request) {
+// run decodes a request, runs its handler and encodes the result.
+func (l *link) run(ctx context.Context, req *jsonrpc2.Request) (envelope, error) {
 	n := l.node
 	n.mu.Lock()
 	h := n.handlers[req.Method]
 	from := l.peerAddress
 	n.mu.Unlock()
 	if h == nil {
-		l.answerError(ctx, req, CodeUnknownMethod, "no such method: "+req.Method)
-		return
+		return envelope{}, &RemoteError{Code: CodeUnknownMethod, Message: "no such method: " + req.Method}
 	}
 	var e envelope
 	r := Request{Method: req.Method, From: from, Notification: req.Notif}
@@ -285,8 +286,7 @@
 		r.body, err = e.content(n.cfg.MaxMessageBytes)
 	}
 	if err != nil {
-		l.answerError(ctx, req, CodeInvalid, err.Error())
-		return
+		return envelope{}, &RemoteError{Code: CodeInvalid, Message: err.Error()}
 	}
 	parent := ctx
 	if req.Notif {
@@ -296,28 +296,28 @@
 	handlerCtx, cancel := e.context(parent)
 	defer cancel()
 	result, err := h(handlerCtx, r)
-	l.answer(ctx, req, result, err)
+	if err != nil || req.Notif {
+		return envelope{}, err
+	}
+	if e, err = newEnvelope(result, n.cfg.MaxMessageBytes); err != nil {
+		return envelope{}, &RemoteError{Code: CodeTooLarge, Message: err.Error()}
+	}
+	return e, nil
 }
 
-func (l *link) answer(ctx context.Context, req *jsonrpc2.Request, result any, err error) {
-	if req.Notif {
-		return
-	}
-	if err != nil {
-		var remote *RemoteError
-		if errors.As(err, &remote) {
-			l.answerError(ctx, req, remote.Code, remote.Message)
-			return
-		}
+// answer sends the result of a request.
+func (l *link) answer(ctx context.Context, req *jsonrpc2.Request, e envelope, err error) {
+	var remote *RemoteError
+	switch {
+	case errors.As(err, &remote):
+		l.answerError(ctx, req, remote.Code, remote.Message)
+	case err != nil:
 		l.answerError(ctx, req, CodeFailed, err.Error())
-		return
-	}
-	e, err := newEnvelope(result, l.node.cfg.MaxMessageBytes)
-	if err == nil {
-		err = l.rpc.Reply(ctx, req.ID, e)
-	}
-	if err != nil {
-		l.answerError(ctx, req, CodeTooLarge, err.Error())
+	case req.Notif:
+	default:
+		if err := l.rpc.Reply(ctx, req.ID, e); err != nil {
+			l.answerError(ctx, req, CodeTooLarge, err.Error())
+		}
 	}
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -227,15 +227,12 @@
 		t.Errorf("result above the size limit: %v, want a RemoteError with CodeTooLarge", err)
 	}
 	answer := make(chan error, 1)
-	go func() {
-		// The only slot may still be taken by the call before, whose answer left before it.
-		err := a.Call(ctx, b.Address(), "slow", "x", nil)
-		for errors.Is(err, ErrRefused) {
-			err = a.Call(ctx, b.Address(), "slow", "x", nil)
-		}
-		answer <- err
-	}()
-	<-started
+	go func() { answer <- a.Call(ctx, b.Address(), "slow", "x", nil) }()
+	select {
+	case <-started:
+	case err := <-answer:
+		t.Fatalf("request after the answer to the last one: %v, want a free slot", err)
+	}
 	if err := a.Call(ctx, b.Address(), "echo", "x", nil); !errors.Is(err, ErrRefused) {
 		t.Errorf("request while all handler slots are taken: %v, want ErrRefused", err)
 	}
@@ -246,7 +243,9 @@
 	if err := a.Call(ctx, b.Address(), "none", "x", nil); !errors.As(err, &remote) || remote.Code != CodeUnknownMethod {
 		t.Errorf("unknown method: %v, want a RemoteError with CodeUnknownMethod", err)
 	}
-	eventually(t, "free handler", func() bool { return a.Call(ctx, b.Address(), "echo", "x", nil) == nil })
+	if err := a.Call(ctx, b.Address(), "echo", "x", nil); err != nil {
+		t.Errorf("request after the answer to the last one: %v, want a free slot", err)
+	}
 	large := strings.Repeat("x", 1<<20)
 	var got string
 	if err := a.Call(ctx, b.Address(), "echo", large, &got); err != nil || got != large {
@@ -254,6 +253,19 @@
 	}
 }
 
+// Guards against a call that is refused although the answer to the only one before it has
+// arrived: the slot must be free before the answer is sent.
+func TestSlotIsFreeBeforeTheAnswer(t *testing.T) {
+	ctx := testContext(t)
+	b := startNode(t, Config{MaxHandlers: 1}, map[string]Handler{"echo": echo})
+	a := startNode(t, Config{}, nil)
+	for i := range 2000 {
+		if err := a.Call(ctx, b.Address(), "echo", "x", nil); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+	}
+}
+
 // Guards against a large message that delays small ones or other large ones. The test
 // counts the bytes that are received before each message is complete.
 func TestSmallMessagesOvertakeLargeOnes(t *testing.T) {
