peer, entry: every step of a planned stop ends by its deadline

Read in the review: closePeers could wait for a frozen peer for the 5 s of a write timeout, longer than the grace period leaves. Cause: closing a connection writes what is queued, within the write timeout, whatever the context of Close.

Change: Close returns FlushTime (100 ms) after its context at the latest; its context ends that much before the end of the stop. Run waits for its goroutines until that end at most.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -97,7 +97,7 @@
 // closePeers ends calls of other hosts that wait for changes. Those hosts then call
 // another host. It returns at the end of the planned stop at the latest.
 func closePeers(node *peer.Node, end time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-peer.FlushTime))
 	defer cancel()
 	ctx, cancel = context.WithTimeout(ctx, peerCloseTimeout)
 	defer cancel()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -153,7 +153,7 @@
 	<-stop
 	cutOff, end = e.stop(ctx, servers)
 	cancel()
-	group.Wait()
+	waitUntil(&group, end)
 	return cutOff, end, nil
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -65,3 +66,16 @@
 	e.scatter.Conclude()
 	e.offload.conclude()
 }
+
+// waitUntil waits for a group, until a time at most.
+func waitUntil(group *sync.WaitGroup, end time.Time) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Until(end)):
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -278,8 +278,9 @@
 }
 
 // Close stops accepting connections, refuses new requests and waits until the running
-// handlers and calls have ended or the context ends. Then it closes all connections.
-// Running handlers may call peers while Close waits for them.
+// handlers and calls have ended or the context ends. Then it closes all connections, and
+// returns FlushTime after the end of the context at the latest, even if a peer does not
+// read. Running handlers may call peers while Close waits for them.
 func (n *Node) Close(ctx context.Context) error {
 	n.mu.Lock()
 	if !n.closing {
@@ -305,6 +306,9 @@
 	return err
 }
 
+// FlushTime is how long Close may take to write the messages that are queued for peers.
+const FlushTime = 100 * time.Millisecond
+
 // byeWait limits the time for which Close waits for the peers to stop using the connections.
 // A request that arrives while its connection is closed counts as possibly run, whereas one
 // that is refused or not sent does not.
@@ -338,6 +342,8 @@
 	for _, l := range n.links() {
 		wait.Go(func() {
 			<-l.ready
+			abort := time.AfterFunc(FlushTime, l.stream.abort)
+			defer abort.Stop()
 			_ = l.rpc.Close()
 		})
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -266,6 +267,34 @@
 	}
 }
 
+// Guards against Close that waits for a peer which does not read, such as a frozen one.
+func TestCloseDoesNotWaitForFrozenPeer(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections in the kernel only
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { frozen.Close() })
+	a := startNode(t, Config{}, nil)
+	large := make([]byte, 1<<20) // random, as messages are compressed
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range large {
+		large[i] = byte(rng.Uint32())
+	}
+	for a.Stats().QueuedBytes < len(large) { // more than the socket buffers hold
+		if err := a.Notify(testContext(t), frozen.Addr().String(), "any", large); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // until the buffers are full
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_ = a.Close(ctx) // whether messages were cut off is not what is tested
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("Close took %v, want the time of its context and %v", took, FlushTime)
+	}
+}
+
 // Guards against a large message that delays small ones or other large ones. The test
 // counts the bytes that are received before each message is complete.
 func TestSmallMessagesOvertakeLargeOnes(t *testing.T) {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -319,6 +319,9 @@
 	return s.conn.Close()
 }
 
+// abort closes the connection without writing the queued messages.
+func (s *stream) abort() { _ = s.conn.Close() }
+
 // pending returns the bytes that wait to be written.
 func (s *stream) pending() int {
 	s.mu.Lock()
