entry, peer, api: bytes of a request reach replicas as the caller sent them

Cause: JSON strings hold UTF-8 only, and encoding/json replaces other bytes.

Change: id, method, target, host, header fields, body and signatures travel as bytes (base64), under new keys, so that a host of the build before declines instead of misreading them. The same on the daemons' path: bodies that are not UTF-8, which JSON must be, are refused with a clear error, and JSON between hosts is no longer escaped for HTML.

Tests that failed before: TestStrongerHostSendsTheBytesOfTheCaller, TestJSONArrivesAsSent, the case 'body that is not UTF-8' (it was accepted, and blocked the stand-in).

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,6 +10,7 @@
 	"regexp"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -242,15 +244,19 @@
 	return nil
 }
 
-// decodeBody decodes a JSON body. It refuses unknown fields and bodies above the size
-// limit.
+// decodeBody decodes a JSON body. It refuses unknown fields, bodies above the size limit and
+// bytes that are not UTF-8, which would not reach upstreams as sent.
 func (s *Server) decodeBody(c echo.Context, target any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, int64(s.limits.BodyBytes))
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(target)
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, int64(s.limits.BodyBytes)))
+	if err == nil && !utf8.Valid(body) {
+		err = errors.New("not UTF-8")
+	}
 	if err == nil {
-		err = requireEOF(decoder)
+		decoder := json.NewDecoder(bytes.NewReader(body))
+		decoder.DisallowUnknownFields()
+		if err = decoder.Decode(target); err == nil {
+			err = requireEOF(decoder)
+		}
 	}
 	if err == nil {
 		return nil
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -58,6 +58,7 @@
 		{"unknown field", "/v1/query", `{"contrct":"a"}`, nil, KindInvalidRequest, NotRun},
 		{"two JSON values", "/v1/query", `{"contract":"a"}{}`, nil, KindInvalidRequest, NotRun},
 		{"body too large", "/v1/query", `{"contract":"` + strings.Repeat("a", 2000) + `"}`, nil, KindBodyTooLarge, NotRun},
+		{"body that is not UTF-8", "/v1/query", `{"contract":"a","request":"` + "\xe9" + `"}`, nil, KindInvalidRequest, NotRun},
 		{"missing idempotency key", "/v1/execute", `{}`, nil, KindInvalidRequest, NotRun},
 		{"resend without submission number", "/v1/execute", `{`, resend, KindInvalidRequest, MayHaveRun},
 		{"first submission", "/v1/execute", `{`, first, KindInvalidRequest, NotRun},
--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -16,14 +15,6 @@
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
-const (
-	methodGather = "entry.gather"
-	methodAlive  = "entry.alive"
-	// methodLeave reports that the caller of a request has disconnected; its parameter
-	// is the request's id.
-	methodLeave = "entry.leave"
-)
-
 const (
 	// aliveInterval is the time between liveness checks of the stronger hosts, and
 	// aliveTimeout the timeout of one. The timeout is many times what a call within a
@@ -39,49 +30,6 @@
 	leaveTimeout = time.Second
 )
 
-// gatherRequest asks another host of the data centre for the merged answer to a
-// request.
-type gatherRequest struct {
-	ID     string      `json:"id"`
-	Method string      `json:"method"`
-	Target string      `json:"target"`
-	Host   string      `json:"host"`
-	Header http.Header `json:"header,omitempty"`
-	Body   []byte      `json:"body,omitempty"`
-	// Version is that of the sender's configuration. Another version may name other
-	// parts.
-	Version uint64 `json:"version"`
-	// TimeoutUS and LatencyGoalUS are the remaining times, in microseconds, to answer
-	// at all and to answer within the target latency.
-	TimeoutUS     int64 `json:"wait_us"`
-	LatencyGoalUS int64 `json:"goal_us"`
-}
-
-// gatherReply is the result of a gatherRequest.
-type gatherReply struct {
-	// Refused is why the host did not handle the request; empty if it did.
-	Refused string `json:"refused,omitempty"`
-	// Tries is the number of replicas of a part that may have run a refused request. It is
-	// not 0 only if the host stopped before the request ended.
-	Tries int `json:"tries,omitempty"`
-	// Failure is why there is no answer, and MayHaveRun whether a part may have run.
-	Failure    string `json:"failure,omitempty"`
-	MayHaveRun bool   `json:"may_have_run,omitempty"`
-	// RetryAfterUS is when the caller should repeat a request that has not run, in
-	// microseconds; 0 for the usual time.
-	RetryAfterUS int64    `json:"retry_after_us,omitempty"`
-	Body         []byte   `json:"body,omitempty"`
-	Signatures   []string `json:"signatures,omitempty"`
-	// TookUS is how long the host worked on the request, in microseconds.
-	TookUS int64 `json:"took_us"`
-}
-
-// aliveReply is the reply to a liveness check.
-type aliveReply struct {
-	// Unreachable are the data centres that the host can't reach.
-	Unreachable []string `json:"out_of_reach,omitempty"`
-}
-
 // offloader forwards requests with many parts to stronger hosts, and handles those of
 // weaker hosts.
 type offloader struct {
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -10,17 +10,16 @@
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/query"
-	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
 
 // handleLeave cancels a request of another host whose caller has disconnected.
 func (o *offloader) handleLeave(_ context.Context, r peer.Request) (any, error) {
-	var id string
+	var id []byte
 	if err := r.Decode(&id); err != nil {
 		return nil, err
 	}
 	o.mu.Lock()
-	cancel := o.running[[2]string{r.From, id}]
+	cancel := o.running[[2]string{r.From, string(id)}]
 	o.mu.Unlock()
 	if cancel != nil { // nil if the request has ended
 		cancel()
@@ -56,7 +55,7 @@
 	if table == nil || !e.view.complete(started) || table.Version != call.Version {
 		return gatherReply{Refused: "another configuration is in force"}, nil
 	}
-	request := exchange.Request{ID: call.ID, Method: call.Method, Target: call.Target, Host: call.Host, Header: call.Header, Body: call.Body}
+	request := call.Request.request()
 	route, ok := findRoute(table, &request)
 	if !ok || len(route.Shards) == 0 {
 		return gatherReply{Refused: "the request is not for several shards"}, nil
@@ -83,9 +82,9 @@
 	}
 	defer e.lifecycle.End(drain.OwnerWork)
 	o.accepted.Inc(1)
-	ctx, end := o.track(ctx, r.From, call.ID)
+	ctx, end := o.track(ctx, r.From, request.ID)
 	defer end()
-	out := outcome{started: started, id: call.ID, route: route.Name, version: table.Version, forwardedFrom: r.From, timeout: timeout}
+	out := outcome{started: started, id: request.ID, route: route.Name, version: table.Version, forwardedFrom: r.From, timeout: timeout}
 	latencyGoal := time.Duration(call.LatencyGoalUS) * time.Microsecond
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(ctx, &out, route, &request, available.services, timeout, latencyGoal)
@@ -106,8 +105,9 @@
 		}
 	} else {
 		out.status, out.verdict = http.StatusOK, verdictMerged.name
-		reply.Body, reply.Signatures = out.merge(route, finish)
-		e.recordAnswer(&out, route, reply.Body, reply.Signatures)
+		body, signatures := out.merge(route, finish)
+		reply.Body, reply.Signatures = body, bytesOf(signatures)
+		e.recordAnswer(&out, route, body, signatures)
 	}
 	e.report(&out)
 	reply.TookUS = time.Since(started).Microseconds()
--- a/internal/entry/offload_send.go
+++ b/internal/entry/offload_send.go
@@ -27,8 +27,7 @@
 	overhead := time.Duration(o.overheads.expected(host.ID, float64(initialOverhead)))
 	latencyGoal -= o.entry.answers.transmissionTime(route.Name)
 	reply, err := o.call(ctx, host, out.timeout-elapsed, gatherRequest{
-		ID: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header, Body: request.Body,
-		Version: out.version, TimeoutUS: (out.timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
+		Request: newWireRequest(request), Version: out.version, TimeoutUS: (out.timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
 	})
 	out.latencyGoal = latencyGoal
 	unsent := errors.IsAny(err, peer.ErrConnect, peer.ErrRefused)
@@ -68,7 +67,7 @@
 	took := time.Since(started) - time.Duration(reply.TookUS)*time.Microsecond
 	o.overheads.observe(host.ID, float64(min(took, maxOverhead)), float64(initialOverhead))
 	if reply.Failure == "" {
-		return o.entry.merged(out, route, reply.Body, reply.Signatures), true
+		return o.entry.merged(out, route, reply.Body, stringsOf(reply.Signatures)), true
 	}
 	if !reply.MayHaveRun {
 		f.sent = notRun
@@ -98,7 +97,7 @@
 func (o *offloader) notifyCallerLeft(host watchers.Host, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := o.node.Notify(ctx, host.Address, methodLeave, id); err != nil {
+	if err := o.node.Notify(ctx, host.Address, methodLeave, []byte(id)); err != nil {
 		klog.V(1).InfoS("Failed to notify a host that the caller has disconnected", "host", host.ID, "id", id, "err", err)
 	}
 }
--- a/internal/entry/offload_test.go
+++ b/internal/entry/offload_test.go
@@ -1,8 +1,10 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -249,3 +251,31 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Guards against a request whose bytes change on their way through a stronger host.
+func TestStrongerHostSendsTheBytesOfTheCaller(t *testing.T) {
+	weak, strong := newPair(t)
+	const target, value = "/scatter/caf\xe9?q=\xff<&>", "na\xefve"
+	for _, s := range weak.shards {
+		s.reply = func(r *http.Request, body string) string {
+			if r.RequestURI != target || r.Header.Get("X-Name") != value || body != "b\xe9" {
+				t.Errorf("the replica got %q, header %q, body %q", r.RequestURI, r.Header.Get("X-Name"), body)
+			}
+			return s.part(r, body)
+		}
+	}
+	runPair(t, weak, strong)
+	c, err := net.Dial("tcp", weak.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-bytes\r\nX-Name: %s\r\nX-Deadline-Ms: 2000\r\nContent-Length: 2\r\n\r\nb\xe9", target, value)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("answer is %v, %v", response, err)
+	}
+	if strong.counter("offload.taken") != 1 {
+		t.Error("the stronger host did not get the request")
+	}
+}
--- a/peer/envelope.go
+++ b/peer/envelope.go
@@ -30,10 +30,13 @@
 
 // newEnvelope encodes v into an envelope without trace context and deadline.
 func newEnvelope(v any, maxBytes int) (envelope, error) {
-	body, err := json.Marshal(v)
-	if err != nil {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false) // bodies of callers' requests stay as they are
+	if err := encoder.Encode(v); err != nil {
 		return envelope{}, errors.Wrap(err, "encode message")
 	}
+	body := bytes.TrimSuffix(out.Bytes(), []byte("\n"))
 	if len(body) > maxBytes {
 		return envelope{}, errors.Wrapf(ErrTooLarge, "%d bytes", len(body))
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -295,6 +295,23 @@
 	}
 }
 
+// Guards against JSON that changes on its way: encoding/json escapes some characters by
+// default.
+func TestJSONArrivesAsSent(t *testing.T) {
+	ctx := testContext(t)
+	b := startNode(t, Config{}, map[string]Handler{"content": func(_ context.Context, r Request) (any, error) {
+		var body json.RawMessage
+		err := r.Decode(&body)
+		return string(body), err
+	}})
+	a := startNode(t, Config{}, nil)
+	const text = "{\"q\":\"<a&b> \u2028 caf\u00e9\"}"
+	var got string
+	if err := a.Call(ctx, b.Address(), "content", json.RawMessage(text), &got); err != nil || got != text {
+		t.Errorf("%s arrives as %s, %v", text, got, err)
+	}
+}
+
 // Guards against a large message that delays small ones or other large ones. The test
 // counts the bytes that are received before each message is complete.
 func TestSmallMessagesOvertakeLargeOnes(t *testing.T) {
