entry: new caller limits apply to the next request of kept connections

Cause: net/http fixes the limits when a server starts. Each change got a new server for new connections, and the old ones stayed until the end of the process.

Change: one server. The size of the header is checked in the handler; the times for a header and between requests are deadlines that each connection sets from the limits in force, also for one that is waiting when they change. No connection is closed by a change. The hand-off between servers is gone.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -49,12 +49,17 @@
 
 // handle routes a request and returns its answer.
 func (e *Entry) handle(r *http.Request, out *outcome) answer {
+	table := e.view.table.Load()
+	if limit := headerLimit(table); headerBytes(r) > limit {
+		a := refusal(verdictHeader, 0, fmt.Sprintf("the header is larger than %d bytes", limit))
+		a.closes = true
+		return a
+	}
 	request, timeout, err := e.callers.ReadRequest(r)
 	out.id = request.ID
 	if err != nil {
 		return refusal(verdictMalformed, 0, err.Error())
 	}
-	table := e.view.table.Load()
 	if table == nil || !e.view.complete(out.started) {
 		return refusal(verdictNotReady, notReadyRetry, "this host has no configuration yet")
 	}
@@ -89,6 +94,14 @@
 	return refusal(verdictLeaving, leavingRetry, "this host is leaving; the request has not run")
 }
 
+// headerLimit returns the limit on a request's header. The table may be nil.
+func headerLimit(table *routing.Table) int {
+	if table == nil || table.Limits.HeaderBytes <= 0 {
+		return defaultLimits.HeaderBytes
+	}
+	return table.Limits.HeaderBytes
+}
+
 // findRoute returns the route of a request.
 func findRoute(table *routing.Table, request *exchange.Request) (*routing.Route, bool) {
 	path, _, _ := strings.Cut(request.Target, "?")
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +47,7 @@
 		}
 		go serve(s.pages, listener)
 	}
-	go s.callers.accept()
+	go serve(s.callers.http, s.callers)
 	return s, nil
 }
 
@@ -70,156 +71,116 @@
 	}
 }
 
-// callerServer serves callers with the limits of the configuration. net/http fixes the
-// limits when a server starts, so a version with other limits gets a new server for new
-// connections; existing connections keep their limits.
+// maxHeaderBytes bounds the header of a request whatever the limits of the configuration.
+const maxHeaderBytes = 256 << 10
+
+// callerServer serves callers with the limits of the configuration, which apply from the
+// next request of each connection on.
 type callerServer struct {
-	handler  http.Handler
+	http     *http.Server
 	listener net.Listener
+	limits   atomic.Pointer[routing.Limits]
 
-	mu      sync.Mutex
-	limits  routing.Limits
-	servers []*handoffServer // the last one gets new connections
+	mu    sync.Mutex
+	conns map[*callerConn]struct{}
 }
 
 func newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
-	s := &callerServer{handler: handler, listener: listener}
-	s.addServer(defaultLimits)
+	s := &callerServer{listener: listener, conns: map[*callerConn]struct{}{}}
+	s.limits.Store(&defaultLimits)
+	s.http = &http.Server{Handler: handler, ConnContext: withCallerConn, MaxHeaderBytes: maxHeaderBytes, ConnState: s.stateChanged}
 	return s
 }
 
-// setLimits applies the limits of a configuration version.
-func (s *callerServer) setLimits(l routing.Limits) {
+// Accept implements net.Listener.
+func (s *callerServer) Accept() (net.Conn, error) {
+	raw, err := s.listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newCallerConn(raw, s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l != s.limits {
-		s.addServer(l)
-		klog.InfoS("Caller limits changed", "headerBytes", l.HeaderBytes, "bodyBytes", l.BodyBytes,
-			"headerTimeout", l.HeaderTimeout, "idleTimeout", l.IdleTimeout)
-	}
+	s.conns[c] = struct{}{}
+	return c, nil
 }
 
-func (s *callerServer) addServer(l routing.Limits) {
-	s.limits = l
-	h := &handoffServer{connections: make(chan net.Conn), closed: make(chan struct{}), address: s.listener.Addr(), silent: map[net.Conn]struct{}{}}
-	h.server = &http.Server{
-		Handler: s.handler, ConnContext: withCallerConn, MaxHeaderBytes: l.HeaderBytes,
-		ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleMargin, ConnState: h.trackSilent,
-	}
-	if l.IdleTimeout <= 0 {
-		h.server.IdleTimeout = defaultLimits.IdleTimeout
-	}
-	s.servers = append(s.servers, h)
-	go serve(h.server, h)
-}
+// Close implements net.Listener.
+func (s *callerServer) Close() error { return s.listener.Close() }
 
-// accept hands each new connection to the newest server.
-func (s *callerServer) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			klog.ErrorS(err, "Failed to accept a caller's connection")
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
+// Addr implements net.Listener.
+func (s *callerServer) Addr() net.Addr { return s.listener.Addr() }
+
+// stateChanged is the server's ConnState function.
+func (s *callerServer) stateChanged(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	if state == http.StateClosed {
 		s.mu.Lock()
-		h := s.servers[len(s.servers)-1]
-		s.mu.Unlock()
-		h.handOff(c)
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+		return
 	}
+	conn.stateChanged(state)
 }
 
-// acceptRetryDelay is the wait after a failed accept, which usually means that the
-// process is out of file descriptors.
-const acceptRetryDelay = 10 * time.Millisecond
-
-// shutDown closes the listener and the idle connections, and waits until the requests in
-// progress are answered or ctx ends.
-func (s *callerServer) shutDown(ctx context.Context) {
-	_ = s.listener.Close() // fails only on a closed listener
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var group sync.WaitGroup
-	for _, h := range s.servers {
-		group.Go(func() { h.shutDown(ctx) })
+// setLimits applies the limits of a configuration version.
+func (s *callerServer) setLimits(l routing.Limits) {
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultLimits.HeaderTimeout
 	}
-	group.Wait()
-}
-
-func (s *callerServer) close() {
-	_ = s.listener.Close() // fails only on a closed listener
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultLimits.IdleTimeout
+	}
+	if l == s.currentLimits() {
+		return
+	}
+	s.limits.Store(&l)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, h := range s.servers {
-		if err := h.server.Close(); err != nil {
-			klog.V(1).InfoS("Failed to close a caller server", "err", err)
-		}
+	for c := range s.conns {
+		c.limitsChanged()
 	}
+	s.mu.Unlock()
+	klog.InfoS("Caller limits changed", "headerBytes", l.HeaderBytes, "bodyBytes", l.BodyBytes,
+		"headerTimeout", l.HeaderTimeout, "idleTimeout", l.IdleTimeout)
 }
 
-// handoffServer is an http.Server that gets its connections through handOff. It is the
-// server's net.Listener.
-type handoffServer struct {
-	server      *http.Server
-	connections chan net.Conn
-	once        sync.Once
-	closed      chan struct{}
-	address     net.Addr
-
-	mu     sync.Mutex
-	silent map[net.Conn]struct{} // connections that have carried no byte of a request yet
-}
-
-// trackSilent is the server's ConnState function.
-func (h *handoffServer) trackSilent(c net.Conn, state http.ConnState) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if state == http.StateNew {
-		h.silent[c] = struct{}{}
-	} else {
-		delete(h.silent, c)
-	}
-}
+func (s *callerServer) currentLimits() routing.Limits { return *s.limits.Load() }
 
-// shutDown closes the idle connections, and each of the others after its answer. It waits
-// for them until ctx ends, but not for connections that have carried no request.
-func (h *handoffServer) shutDown(ctx context.Context) {
-	h.mu.Lock()
-	for c := range h.silent {
-		c.Close()
+// shutDown closes the listener and the idle connections, and each of the others after its
+// answer. It waits for them until ctx ends, but not for connections that have carried no
+// byte.
+func (s *callerServer) shutDown(ctx context.Context) {
+	s.mu.Lock()
+	for c := range s.conns {
+		if c.isSilent() {
+			_ = c.Close() // fails only on a closed connection
+		}
 	}
-	h.mu.Unlock()
-	if err := h.server.Shutdown(ctx); err != nil {
+	s.mu.Unlock()
+	if err := s.http.Shutdown(ctx); err != nil {
 		klog.V(1).InfoS("Connections of callers were still in use", "err", err)
 	}
 }
 
-func (h *handoffServer) handOff(c net.Conn) {
-	select {
-	case h.connections <- c:
-	case <-h.closed:
-		c.Close()
+func (s *callerServer) close() {
+	_ = s.listener.Close() // fails only on a closed listener
+	if err := s.http.Close(); err != nil {
+		klog.V(1).InfoS("Failed to close the server of callers", "err", err)
 	}
 }
 
-// Accept implements net.Listener.
-func (h *handoffServer) Accept() (net.Conn, error) {
-	select {
-	case c := <-h.connections:
-		return c, nil
-	case <-h.closed:
-		return nil, net.ErrClosed
+// headerBytes returns the size of a request's header on the wire, without fields that the
+// server removes.
+func headerBytes(r *http.Request) int {
+	const separators = 4 // of a field or of the request line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
 	}
+	return n
 }
-
-// Close implements net.Listener.
-func (h *handoffServer) Close() error {
-	h.once.Do(func() { close(h.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (h *handoffServer) Addr() net.Addr { return h.address }
