cmd: signals are caught before anything else of the process starts

Seen in the review: SIGHUP in the first milliseconds ends a process.

Cause: the process asked for signals after its settings were read and its listener was open. Until then SIGHUP has its default effect.

A change of the settings file between its reading and the first look at its time is no longer missed. Daemons with their own interface log that SIGHUP has no effect instead of ending.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/marigoldlever/marigoldlever/follow"
 	"github.com/marigoldlever/marigoldlever/internal/entry"
 	"github.com/marigoldlever/marigoldlever/internal/logging"
+	"github.com/marigoldlever/marigoldlever/internal/signals"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
 	"github.com/marigoldlever/marigoldlever/watchers"
@@ -37,6 +37,7 @@
 		fmt.Fprintf(os.Stderr, "marigoldleverd: -entry needs the path of the settings in %s\n", platform.SettingsVariable)
 		return exitSettings
 	}
+	loaded := modificationTime(path) // before reading, so that no later change is missed
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -53,10 +54,12 @@
 	}
 	defer closeLog()
 	klog.InfoS("Started", "host", s.Host, "dataCentre", s.DataCentre, "callers", s.CallerAddress, "store", s.StoreAddress)
-	return runEntry(path, s)
+	return runEntry(path, loaded, s)
 }
 
-func runEntry(path string, s entry.Settings) int {
+// runEntry runs an entry host with the settings that were loaded from the file when it had
+// the given modification time.
+func runEntry(path string, loaded time.Time, s entry.Settings) int {
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreAddress, registry)
 	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress})
@@ -74,10 +77,8 @@
 			klog.ErrorS(err, "Cannot listen for calls of other hosts", "address", s.PeerAddress)
 		}
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	stop := make(chan struct{})
-	go watchSettings(path, e, signals, stop)
+	go watchSettings(path, loaded, e, signals.Caught(), stop)
 	cutOff, end, err := e.Run(context.Background(), stop, entry.Sources{
 		Configuration: store.Configuration(newSource, logSkipped), Replicas: store.Replicas(newSource, logSkipped),
 		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Hosts: store, OnHosts: group.SetHosts,
@@ -108,13 +109,12 @@
 
 // watchSettings reloads the settings on SIGHUP and when the file changes. On any other
 // signal it closes stop and returns.
-func watchSettings(path string, e *entry.Entry, signals <-chan os.Signal, stop chan<- struct{}) {
+func watchSettings(path string, lastModified time.Time, e *entry.Entry, caught <-chan os.Signal, stop chan<- struct{}) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	lastModified := modificationTime(path)
 	for {
 		select {
-		case s := <-signals:
+		case s := <-caught:
 			if s != syscall.SIGHUP {
 				close(stop)
 				return
--- a/cmd/marigoldleverd/main.go
+++ b/cmd/marigoldleverd/main.go
@@ -6,13 +6,13 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/internal/daemon"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
+	"github.com/marigoldlever/marigoldlever/internal/signals"
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
 )
 
@@ -61,8 +61,9 @@
 }
 
 func serve(s settings.Settings) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	go awaitStop(stop)
 	stopTracing, err := tracing.Start(ctx, tracing.Config{
 		File: s.Trace.File, OTLPAddress: s.Trace.OTLPAddress, Sample: s.Trace.Sample, Host: s.Host.ID, DataCentre: s.Host.DataCentre,
 	})
@@ -92,6 +93,17 @@
 	}
 }
 
+// awaitStop calls stop at the first signal that ends the daemon.
+func awaitStop(stop func()) {
+	for s := range signals.Caught() {
+		if s != syscall.SIGHUP {
+			stop()
+			return
+		}
+		klog.InfoS("SIGHUP has no effect: settings are read at the start only")
+	}
+}
+
 func printKeys() {
 	for _, k := range settings.Keys() {
 		requirement := "default " + k.Default
