follow, platform: changes too large for one response are read as a list

Read in the review: a watch whose answer is larger than 16 MB can't be read and is asked again until the store has lost that history.

Cause: the answer was cut at the limit and then counted as one that can't be decoded, which the follower takes for a store that is down; it goes on from the same revision.

The follower reads the list, which comes in pages, after a back-off that grows with each such answer in a row, and doesn't count the store as lost.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -14,6 +14,10 @@
 // ErrCompacted reports that the store no longer has the history since a revision.
 var ErrCompacted = errors.New("history is compacted")
 
+// ErrTooLarge reports that the changes since a revision are more than can be read in one
+// response. The whole list comes in pages.
+var ErrTooLarge = errors.New("changes are too large")
+
 // Item is one object of the list. It is also encoded in messages between hosts.
 type Item[T any] struct {
 	Name     string `json:"name"`
@@ -55,6 +59,7 @@
 	listed    bool
 	revision  uint64
 	failures  int
+	oversized int // watches in a row whose response was too large
 	available bool
 	pause     time.Duration // after the last response
 }
@@ -65,12 +70,20 @@
 // Next returns the next call to make.
 func (m *Machine) Next() Step {
 	s := Step{List: !m.listed, From: m.revision, Delay: m.pause}
-	if m.failures > 0 {
-		s.Delay = min(m.cfg.MaxBackoff, m.cfg.InitialBackoff<<min(m.failures-1, maxDoublings))
+	switch {
+	case m.failures > 0:
+		s.Delay = m.backoff(m.failures)
+	case !m.listed && m.oversized > 0:
+		s.Delay = m.backoff(m.oversized)
 	}
 	return s
 }
 
+// backoff returns the wait after a number of failures in a row.
+func (m *Machine) backoff(failures int) time.Duration {
+	return min(m.cfg.MaxBackoff, m.cfg.InitialBackoff<<min(failures-1, maxDoublings))
+}
+
 // maxDoublings keeps the backoff from overflowing.
 const maxDoublings = 16
 
@@ -85,14 +98,23 @@
 		m.revision = revision
 	}
 	m.listed = true
+	if !s.List {
+		m.oversized = 0
+	}
 	return recovered
 }
 
 // CallFailed records a failed call. It reports whether the store was available before.
-// Compacted history does not mean that the store is unavailable.
+// Compacted history, or changes that are too large, do not mean that the store is
+// unavailable: the list is read again.
 func (m *Machine) CallFailed(err error) (outage bool) {
-	if errors.Is(err, ErrCompacted) {
+	switch {
+	case errors.Is(err, ErrCompacted):
+		m.listed = false
+		return false
+	case errors.Is(err, ErrTooLarge) && m.listed:
 		m.listed = false
+		m.oversized++
 		return false
 	}
 	m.failures++
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+// Guards against a watch that is asked again for ever because its response is too large, and
+// against lists in quick succession if that goes on.
+func TestTooLargeChangesListAgainWithBackoff(t *testing.T) {
+	m := follow.NewMachine(config)
+	m.CallSucceeded(m.Next(), 40, 0)
+	for i, want := range []time.Duration{10, 20, 40, 80, 80} {
+		if m.CallFailed(errors.Wrap(follow.ErrTooLarge, "watch")) {
+			t.Error("changes that are too large are reported as a store outage")
+		}
+		if s := m.Next(); !s.List || s.Delay != want*time.Millisecond {
+			t.Errorf("watch %d: next step is %+v, want a list after %d ms", i, s, want)
+		}
+		m.CallSucceeded(m.Next(), 50, 0)
+		if s := m.Next(); s.List || s.From != 50 || s.Delay != 0 {
+			t.Errorf("after list %d the next step is %+v, want a watch from 50", i, s)
+		}
+	}
+	m.CallSucceeded(m.Next(), 51, 0)
+	m.CallFailed(errors.Wrap(follow.ErrTooLarge, "watch"))
+	if s := m.Next(); s.Delay != 10*time.Millisecond {
+		t.Errorf("after a watch that succeeded the next list comes after %v", s.Delay)
+	}
+	m.CallFailed(errors.Wrap(follow.ErrTooLarge, "list")) // a page: as if the store failed
+	if s := m.Next(); !s.List || s.Delay == 0 {
+		t.Errorf("after a list that is too large the next step is %+v", s)
+	}
+}
+
 // Guards against a watch that goes back to changes already seen, and against a separate
 // call for each of many changes in quick succession.
 func TestWatchAdvancesAndPauses(t *testing.T) {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
@@ -213,6 +214,10 @@
 func (l listLog) Unavailable(_ time.Time, err error) { klog.ErrorS(err, "Store lost", "list", l.list) }
 
 func (l listLog) CallFailed(err error) {
+	if errors.Is(err, follow.ErrTooLarge) {
+		klog.ErrorS(err, "Changes can't be read, the list is read instead", "list", l.list)
+		return
+	}
 	klog.V(1).InfoS("Store call failed", "list", l.list, "err", err)
 }
 
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -227,13 +227,13 @@
 }
 
 // recordCall records the result of a call to the store and returns its error. Compacted
-// history counts as an answer.
+// history and changes that are too large count as answers.
 func (s *Source) recordCall(ctx context.Context, err error) error {
 	if err != nil && ctx.Err() != nil {
 		return err
 	}
 	now := time.Now()
-	answered := err == nil || errors.Is(err, follow.ErrCompacted)
+	answered := err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrTooLarge)
 	s.list.recordCall(now, answered)
 	s.relay.mu.Lock()
 	s.relay.chooser.RecordStoreCall(now, answered)
