memory: what a process keeps is bounded in bytes, from the host's memory limit

What a host keeps by count got bounds in bytes, named in internal/entry/memory.go: large bodies of callers together (refused at once beyond, have not run), requests at replicas by parts (the same), callers' connections (the one that is idle longest is closed, never one with a request), latencies of services (used longest ago first), messages between hosts of all connections together, one list of the store (fails, the copy in use stays), log lines not yet written (left out and counted), estimates and divisions per route. A request copies its route, so that it keeps no whole version of the configuration in memory.

membudget.Budget takes the place of the same logic for replies, and serves the new bounds.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -62,7 +62,8 @@
 func runEntry(path string, loaded time.Time, s entry.Settings) int {
 	registry := metrics.NewRegistry()
 	store := platform.NewStore(s.StoreAddress, registry)
-	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress})
+	store.LimitLists(s.ListBytes())
+	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress, MaxTotalBytes: s.PeerBytes()})
 	group := watchers.New(s.WatcherConfig(platform.WatchSlack), s.Self(), node)
 	newSource := func(list string, objects watchers.StoreList) follow.Source[json.RawMessage] {
 		return group.Source(list, objects)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,8 @@
 	maintenanceInterval = time.Second
 	// statisticsAge is the time after which unused latency statistics are dropped.
 	statisticsAge = 10 * time.Minute
+	// maxServiceStatistics is the largest number of services whose latencies a stripe keeps.
+	maxServiceStatistics = 4096
 	// shutDownMargin extends the grace period by the time to write the release of
 	// the shares and the host list entry.
 	shutDownMargin = 3 * time.Second
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -30,7 +30,7 @@
 		d.gateway.refresh()
 		d.sendAllLevels()
 		d.drainedProber.run(d.ctx)
-		d.scatter.Prune(time.Now().Add(-statisticsAge))
+		d.scatter.Prune(time.Now().Add(-statisticsAge), maxServiceStatistics)
 		select {
 		case <-d.ctx.Done():
 			return
--- a/internal/entry/answertimes.go
+++ b/internal/entry/answertimes.go
@@ -16,6 +16,8 @@
 const (
 	estimateRise = 0.5
 	estimateFall = 0.05
+	// maxEstimates limits the keys; beyond it, all are learnt anew.
+	maxEstimates = 4096
 )
 
 func newUpperEstimate[K comparable]() *upperEstimate[K] {
@@ -30,6 +32,9 @@
 	estimate, ok := u.estimate[key]
 	if !ok {
 		estimate = initial
+		if len(u.estimate) >= maxEstimates {
+			clear(u.estimate)
+		}
 	}
 	weight := estimateFall
 	if value > estimate {
--- a/internal/entry/answertimes_test.go
+++ b/internal/entry/answertimes_test.go
@@ -71,3 +71,22 @@
 		t.Errorf("estimate is %v, was %v before an answer that was truncated at the latency goal", after, before)
 	}
 }
+
+// Guards against estimates and divisions that are kept for every route and number of parts
+// that there ever was.
+func TestEstimatesAreBounded(t *testing.T) {
+	u := newUpperEstimate[int]()
+	var p partitions
+	for i := range 2*maxEstimates + 1 {
+		u.observe(i, 7, 0)
+		if i < 3*maxPartitions {
+			p.equal(i + 1)
+		}
+		if len(u.estimate) > maxEstimates || len(p.byCount) > maxPartitions {
+			t.Fatalf("%d estimates and %d divisions are kept", len(u.estimate), len(p.byCount))
+		}
+	}
+	if got := u.expected(2*maxEstimates, 0); got == 0 {
+		t.Error("the last estimate is not kept")
+	}
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -121,6 +121,13 @@
 	}
 }
 
+// idleSince returns since when the connection has been idle, if it is.
+func (c *callerConn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.phase == idle
+}
+
 // isSilent reports whether the connection has carried no byte.
 func (c *callerConn) isSilent() bool {
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,15 +27,6 @@
 	housekeepingInterval = 500 * time.Millisecond
 	// maxStatisticsAge is how long unused statistics are kept.
 	maxStatisticsAge = time.Minute
-	// memoryLimitShare of the memory limit is the garbage collector's soft limit: above
-	// it, the collector runs more often.
-	memoryLimitShare = 0.7
-	megabyte         = 1 << 20
-	// replyShare and repliesShare of the memory limit bound the body of one reply and of
-	// all large ones together. The collector lets memory grow to a few times of what is
-	// held.
-	replyShare   = 1.0 / 32
-	repliesShare = 1.0 / 8
 	// gcPercent lets the heap grow to twice its live size: a larger heap only costs memory
 	// on most hosts. The few hosts from strongCores on handle the large requests of all
 	// others, whose answers more frequent collection would delay.
@@ -83,6 +74,7 @@
 	answers    *answerTimes
 	shares     *shares
 	overload   *overload
+	memory     memory
 	offload    *offloader // nil if this host does all requests itself
 }
 
@@ -91,13 +83,10 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps)}
+	e := &Entry{settings: s, callers: codec, view: newView(registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
-	if s.MemoryMB > 0 {
-		memory := float64(s.MemoryMB) * megabyte
-		e.pool.LimitMemory(int64(replyShare*memory), int64(repliesShare*memory))
-	}
+	e.pool.LimitMemory(s.memoryShare(replyShare), s.memoryShare(repliesShare))
 	e.reach = newReachability(e.pool.Probe, e.view.sampleAddresses)
 	e.scatter = scatter.New(scatter.Config{
 		Stripes:     1,
@@ -126,7 +115,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if e.settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(e.settings.MemoryMB) * megabyte))
+		debug.SetMemoryLimit(e.settings.memoryShare(memoryLimitShare))
 		debug.SetGCPercent(collectorPercent(e.settings.Cores))
 	}
 	servers, err := e.listen()
@@ -174,6 +163,6 @@
 
 func (e *Entry) housekeep(now time.Time) {
 	e.pool.RetainOnly(e.view.expire(now))
-	e.scatter.Prune(now.Add(-maxStatisticsAge))
+	e.scatter.Prune(now.Add(-maxStatisticsAge), e.settings.maxStatistics())
 	e.overload.prune(now.Add(-maxStatisticsAge))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/records"
 	"github.com/marigoldlever/marigoldlever/routing"
@@ -42,6 +42,7 @@
 // finish releases what a request and its answer needed.
 func (e *Entry) finish(out *outcome) {
 	out.close()
+	e.memory.bodies.Release(out.bodyHeld)
 	if out.accepted {
 		e.lifecycle.End(drain.CallerWork)
 	}
@@ -76,8 +77,8 @@
 	if out.accepted = e.lifecycle.Begin(work); !out.accepted {
 		return refuseLeaving()
 	}
-	if request.Body, err = readBody(r, table.Limits.BodyBytes); err != nil {
-		return refuseBody(err)
+	if request.Body, err = e.readBody(r, out, table.Limits.BodyBytes); err != nil {
+		return refuseBody(route, err)
 	}
 	if !e.lifecycle.Accepts(work) { // the body may have taken long to arrive
 		return refuseLeaving()
@@ -105,25 +106,34 @@
 // findRoute returns the route of a request.
 func findRoute(table *routing.Table, request *exchange.Request) (*routing.Route, bool) {
 	path, _, _ := strings.Cut(request.Target, "?")
-	return table.Find(request.Host, path)
+	route, ok := table.Find(request.Host, path)
+	if !ok {
+		return nil, false
+	}
+	own := *route // the request keeps no whole version of the configuration in memory
+	return &own, true
 }
 
 // readBody reads the whole body, because it may have to be sent to several replicas.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+func (e *Entry) readBody(r *http.Request, out *outcome, limit int64) (body []byte, err error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = defaultLimits.BodyBytes
 	}
-	return io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	body, out.bodyHeld, err = e.memory.bodies.ReadAll(r.Body, r.ContentLength, limit)
+	return body, err
 }
 
-func refuseBody(err error) answer {
+// refuseBody returns the answer to a request whose body was not read to its end.
+func refuseBody(route *routing.Route, err error) answer {
 	a := refusal(verdictMalformed, 0, "the body could not be read")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		a = refusal(verdictTooLarge, 0, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
+	switch {
+	case errors.Is(err, membudget.ErrTooLarge):
+		a = refusal(verdictTooLarge, 0, "the body is too large: "+err.Error())
+	case errors.Is(err, membudget.ErrExhausted):
+		a = refusal(verdictRefused, refusedRetryAfter(route), "the request has not run: too many large bodies are in progress")
 	}
 	a.closes = true // the rest of the body is not read
 	return a
@@ -148,6 +158,11 @@
 	if !available.enoughConnections(route) {
 		return out.refuseUnsent(route, refusedRetryAfter(route), "too few replicas have room")
 	}
+	release, ok := e.memory.reserveParts(len(names))
+	if !ok {
+		return out.refuseUnsent(route, refusedRetryAfter(route), "too many requests are in progress")
+	}
+	defer release()
 	passed := time.Since(out.started)
 	latencyGoal = e.answers.mergeDeadline(latencyGoal, route.Name, len(route.Shards))
 	finish, err := e.execute(ctx, out, route, request, available.services, out.timeout-passed, latencyGoal-passed)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -137,6 +137,8 @@
 	node               *peer.Node // nil if the entry has no peer address
 	peerAddress        string
 	grace              time.Duration
+	memoryMB           int   // 0 for the usual one
+	bodyLimit          int64 // of the configuration; 0 for the usual one
 	stop               chan struct{}
 	stopped            chan int
 	client             *http.Client
@@ -170,6 +172,10 @@
 func (tr *tier) run(t testing.TB, self watchers.Host, list hostList) {
 	t.Helper()
 	tr.address, tr.readiness = freeAddress(t), freeAddress(t)
+	if tr.bodyLimit > 0 {
+		table := tr.configuration.items[0].Value
+		table.Limits.BodyBytes = tr.bodyLimit
+	}
 	if tr.replicas == nil {
 		tr.replicas = tr.registry
 	}
@@ -181,7 +187,7 @@
 	tr.metrics = metrics.NewRegistry()
 	settings := entry.Settings{
 		Host: self.ID, DataCentre: self.DataCentre, PeerAddress: self.Address, Cores: self.Cores,
-		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness,
+		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness, MemoryMB: tr.memoryMB,
 		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
 	}
 	e := entry.New(settings, platform.Codec{}, tr.metrics, 1)
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -81,6 +81,11 @@
 		return gatherReply{Refused: "this host is leaving"}, nil
 	}
 	defer e.lifecycle.End(drain.OwnerWork)
+	release, ok := e.memory.reserveParts(len(route.Shards))
+	if !ok {
+		return gatherReply{Refused: "too many requests are in progress"}, nil
+	}
+	defer release()
 	o.accepted.Inc(1)
 	ctx, end := o.track(ctx, r.From, request.ID)
 	defer end()
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -129,17 +129,29 @@
 	}
 }
 
-// partitions caches the division of the hash space into n equal parts.
-type partitions struct{ byCount sync.Map }
+// partitions caches the division of the hash space into n equal parts, for the numbers of
+// parts in use.
+type partitions struct {
+	mu      sync.Mutex
+	byCount map[int][]query.Service
+}
+
+// maxPartitions limits the numbers of parts whose division is cached.
+const maxPartitions = 32
 
 func (p *partitions) equal(n int) []query.Service {
-	if s, ok := p.byCount.Load(n); ok {
-		return s.([]query.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.byCount[n]; ok {
+		return s
 	}
 	s := make([]query.Service, n)
 	for i, r := range upstream.Split(n) {
 		s[i].Partition = r
 	}
-	p.byCount.Store(n, s)
+	if p.byCount == nil || len(p.byCount) == maxPartitions {
+		p.byCount = map[int][]query.Service{}
+	}
+	p.byCount[n] = s
 	return s
 }
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -30,6 +30,7 @@
 	forwardedFrom string // address of the host that forwarded the request; empty if none
 	started       time.Time
 	timeout       time.Duration // counted from started
+	bodyHeld      int64         // memory of the body
 	accepted      bool          // counts as in progress
 	verdict       string
 	latencyGoal   time.Duration // counted from started
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	s.callers = newCallerServer(e, listener)
+	s.callers = newCallerServer(e, listener, e.settings.maxConnections())
 	for _, address := range []string{e.settings.ReadinessAddress, e.settings.MetricsAddress} {
 		if address == "" {
 			continue
@@ -81,28 +81,62 @@
 	listener net.Listener
 	limits   atomic.Pointer[routing.Limits]
 
+	max   int // number of connections
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newCallerServer(handler http.Handler, listener net.Listener) *callerServer {
-	s := &callerServer{listener: listener, conns: map[*callerConn]struct{}{}}
+func newCallerServer(handler http.Handler, listener net.Listener, max int) *callerServer {
+	s := &callerServer{listener: listener, max: max, conns: map[*callerConn]struct{}{}}
 	s.limits.Store(&defaultLimits)
 	s.http = &http.Server{Handler: handler, ConnContext: withCallerConn, MaxHeaderBytes: maxHeaderBytes, ConnState: s.stateChanged}
 	return s
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Beyond the largest number of connections, the one that has
+// been idle longest is closed or, if none is idle, the new one.
 func (s *callerServer) Accept() (net.Conn, error) {
-	raw, err := s.listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newCallerConn(raw, s)
+		if s.add(c) {
+			return c, nil
+		}
+		_ = raw.Close() // fails only on a closed connection
 	}
-	c := newCallerConn(raw, s)
+}
+
+// add registers a connection. It reports whether there is room for it.
+func (s *callerServer) add(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.conns) >= s.max {
+		oldest := s.longestIdle()
+		if oldest == nil {
+			klog.V(1).InfoS("Too many connections of callers", "connections", len(s.conns))
+			return false
+		}
+		delete(s.conns, oldest)
+		_ = oldest.Close() // fails only on a closed connection
+	}
 	s.conns[c] = struct{}{}
-	return c, nil
+	return true
+}
+
+// longestIdle returns the connection that has been idle longest, nil if none is. The caller
+// holds mu.
+func (s *callerServer) longestIdle() *callerConn {
+	var oldest *callerConn
+	var since time.Time
+	for c := range s.conns {
+		if at, ok := c.idleSince(); ok && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	return oldest
 }
 
 // Close implements net.Listener.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -70,18 +70,10 @@
 	minPollTimeout    = 300 * time.Millisecond
 )
 
-const (
-	// historyShare of the memory limit bounds the recent changes of each list that are kept
-	// for other hosts. It is at least minHistoryBytes, so that it holds some objects of the
-	// largest size.
-	historyShare    = 1.0 / 64
-	minHistoryBytes = 2 << 20
-)
-
 // WatcherConfig returns the settings of the watchers that keep the bounds.
 func (s Settings) WatcherConfig(replyGrace time.Duration) watchers.Config {
 	c := s.Bounds.WatcherConfig(replyGrace)
-	c.HistoryBytes = max(int(historyShare*float64(s.MemoryMB)*megabyte), minHistoryBytes)
+	c.HistoryBytes = int(max(s.memoryShare(historyShare), minHistoryBytes))
 	return c
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -12,6 +12,8 @@
 const (
 	// maxPendingLines is the maximum number of lines that wait to be written.
 	maxPendingLines = 4096
+	// maxPendingBytes is their maximum size together.
+	maxPendingBytes = 1 << 20
 	// closeTimeout is how long Close waits for pending lines to be written.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -25,6 +27,7 @@
 
 	mu           sync.Mutex
 	droppedLines int
+	pending      int // bytes of the lines that are not written yet
 	closed       bool
 }
 
@@ -42,23 +45,33 @@
 	if w.closed {
 		return len(p), nil
 	}
-	if w.droppedLines > 0 && len(w.lines) < cap(w.lines) {
-		w.lines <- fmt.Appendf(nil, "W Log lines left out: %d\n", w.droppedLines)
+	if w.droppedLines > 0 && w.add(fmt.Appendf(nil, "W Log lines left out: %d\n", w.droppedLines)) {
 		w.droppedLines = 0
 	}
-	select {
-	case w.lines <- append([]byte(nil), p...):
-	default:
+	if !w.add(append([]byte(nil), p...)) {
 		w.droppedLines++
 	}
 	return len(p), nil
 }
 
+// add queues a line. It reports whether there is room for it. The caller holds mu.
+func (w *Writer) add(line []byte) bool {
+	if w.pending+len(line) > maxPendingBytes || len(w.lines) == cap(w.lines) {
+		return false
+	}
+	w.pending += len(line)
+	w.lines <- line
+	return true
+}
+
 func (w *Writer) run() {
 	defer close(w.done)
 	for line := range w.lines {
 		// An error can't be reported, because the log itself can't be written.
 		_, _ = w.output.Write(line)
+		w.mu.Lock()
+		w.pending -= len(line)
+		w.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/internal/membudget/membudget.go
@@ -0,0 +1,85 @@
+// Package membudget bounds the memory that several users of a kind hold together.
+package membudget
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Budget is a number of bytes that its users share. It is safe for concurrent use.
+type Budget struct {
+	max  int64
+	used atomic.Int64
+}
+
+// New returns a budget of max bytes.
+func New(max int64) *Budget { return &Budget{max: max} }
+
+// Max returns the size of the budget.
+func (b *Budget) Max() int64 { return b.max }
+
+// Reserve takes bytes of the budget. It reports whether they were left; if not, it takes
+// nothing.
+func (b *Budget) Reserve(bytes int64) bool {
+	if b.used.Add(bytes) <= b.max {
+		return true
+	}
+	b.used.Add(-bytes)
+	return false
+}
+
+// Release gives reserved bytes back.
+func (b *Budget) Release(bytes int64) { b.used.Add(-bytes) }
+
+// smallBytes is the size up to which ReadAll needs no reservation.
+const smallBytes = 16 << 10
+
+var (
+	// ErrTooLarge reports content that exceeds its own limit.
+	ErrTooLarge = errors.New("content is too large")
+	// ErrExhausted reports that no memory is left in a budget.
+	ErrExhausted = errors.New("the memory for content is used up")
+)
+
+// ReadAll reads content of at most max bytes. size is its announced size, negative if none
+// is. The memory of content that is not small is reserved as the bytes arrive, since an
+// announced size costs its sender nothing; the caller has to release held.
+func (b *Budget) ReadAll(r io.Reader, size, max int64) (content []byte, held int64, err error) {
+	if size > max {
+		return nil, 0, errors.Wrapf(ErrTooLarge, "%d bytes", size)
+	}
+	if size >= 0 && size <= smallBytes {
+		content = make([]byte, size)
+		_, err = io.ReadFull(r, content)
+		return content, 0, err
+	}
+	defer func() {
+		if err != nil {
+			b.Release(held)
+			content, held = nil, 0
+		}
+	}()
+	content = make([]byte, 0, min(smallBytes, max+1))
+	for {
+		n, err := r.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		switch {
+		case int64(len(content)) > max:
+			return nil, held, errors.Wrapf(ErrTooLarge, "more than %d bytes", max)
+		case errors.Is(err, io.EOF):
+			return content, held, nil
+		case err != nil:
+			return nil, held, err
+		case len(content) < cap(content):
+			continue
+		}
+		larger := min(2*int64(cap(content)), max+1) // one more byte shows that there are too many
+		if !b.Reserve(larger - held) {
+			return nil, held, ErrExhausted
+		}
+		held = larger
+		content = append(make([]byte, 0, larger), content...)
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -94,6 +94,7 @@
 
 func (l *link) removeWhenClosed() {
 	<-l.rpc.DisconnectNotify()
+	l.stream.release()
 	l.node.mu.Lock()
 	defer l.node.mu.Unlock()
 	delete(l.node.all, l)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 // Errors of this package; test with errors.Is.
@@ -101,6 +103,10 @@
 	MaxMessageBytes int
 	// MaxQueuedBytes limits the bytes that wait to be written to one connection.
 	MaxQueuedBytes int
+	// MaxTotalBytes limits the messages of all connections together that wait to be
+	// written, or of which only a part has arrived. A request beyond it is refused; an
+	// answer, or a part, beyond it ends its connection.
+	MaxTotalBytes int
 	// MaxCalls limits the calls in flight on one connection.
 	MaxCalls int
 	// MaxHandlers limits the handlers that run concurrently for one connection.
@@ -117,6 +123,8 @@
 	BackoffMin, BackoffMax time.Duration
 	// Dial opens a connection. The default uses TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	total *membudget.Budget // of MaxTotalBytes
 }
 
 // Defaults of Config.
@@ -125,6 +133,7 @@
 	// stores (1 MB), even if it is incompressible and base64 adds a third.
 	defaultMaxMessageBytes = 2 << 20
 	defaultMaxQueuedBytes  = 8 << 20
+	defaultMaxTotalBytes   = 256 << 20
 	defaultMaxCalls        = 1024
 	defaultMaxHandlers     = 1024
 	defaultDialTimeout     = time.Second
@@ -147,6 +156,8 @@
 	}
 	setInt(&c.MaxMessageBytes, defaultMaxMessageBytes)
 	setInt(&c.MaxQueuedBytes, defaultMaxQueuedBytes)
+	setInt(&c.MaxTotalBytes, defaultMaxTotalBytes)
+	c.total = membudget.New(int64(c.MaxTotalBytes))
 	setInt(&c.MaxCalls, defaultMaxCalls)
 	setInt(&c.MaxHandlers, defaultMaxHandlers)
 	setDuration(&c.DialTimeout, defaultDialTimeout)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -295,6 +295,45 @@
 	}
 }
 
+// Guards against peers that do not read and together take the memory of the host, and against
+// memory that stays taken after their connections have ended.
+func TestQueuesShareMemory(t *testing.T) {
+	const total, peers, messages = 2 << 20, 4, 32
+	a := startNode(t, Config{MaxTotalBytes: total, WriteTimeout: 2 * time.Second}, nil)
+	large := make([]byte, 512<<10)
+	rng := rand.New(rand.NewPCG(1, 1)) // random, as messages are compressed
+	for i := range large {
+		large[i] = byte(rng.Uint32())
+	}
+	refused := 0
+	for range peers {
+		frozen, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { frozen.Close() })
+		for range messages {
+			if err := a.Notify(testContext(t), frozen.Addr().String(), "any", large); errors.Is(err, ErrRefused) {
+				refused++
+				break
+			}
+			if queued := a.Stats().QueuedBytes; queued > total {
+				t.Fatalf("%d bytes are queued", queued)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("no message was refused")
+	}
+	eventually(t, "memory given back", func() bool {
+		if !a.cfg.total.Reserve(total) {
+			return false
+		}
+		a.cfg.total.Release(total)
+		return true
+	})
+}
+
 // Guards against JSON that changes on its way: encoding/json escapes some characters by
 // default.
 func TestJSONArrivesAsSent(t *testing.T) {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 const (
@@ -51,6 +53,7 @@
 	maxBytes     int
 	queueBytes   int
 	writeTimeout time.Duration
+	total        *membudget.Budget // of the node
 	sent         *atomic.Int64
 	received     *atomic.Int64
 
@@ -77,6 +80,7 @@
 		maxBytes:     cfg.MaxMessageBytes,
 		queueBytes:   cfg.MaxQueuedBytes,
 		writeTimeout: cfg.WriteTimeout,
+		total:        cfg.total,
 		sent:         sent,
 		received:     received,
 		wake:         make(chan struct{}, 1),
@@ -92,7 +96,11 @@
 func (s *stream) fits(size int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queued+size <= s.queueBytes
+	if s.queued+size > s.queueBytes || !s.total.Reserve(int64(size)) {
+		return false
+	}
+	s.total.Release(int64(size))
+	return true
 }
 
 // WriteObject queues a message.
@@ -120,7 +128,7 @@
 	if s.closing {
 		return errStreamClosed
 	}
-	if s.queued+len(data) > 2*s.queueBytes {
+	if s.queued+len(data) > 2*s.queueBytes || !s.total.Reserve(int64(len(data))) {
 		_ = s.conn.Close()
 		return errOverflow
 	}
@@ -227,7 +235,19 @@
 func (s *stream) dequeued(bytes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queued -= bytes
+	n := min(bytes, s.queued) // release may have come before
+	s.queued -= n
+	s.total.Release(int64(n))
+}
+
+// release gives up the messages that are still queued. It is called when the connection has
+// ended.
+func (s *stream) release() {
+	s.mu.Lock()
+	s.closing = true
+	bytes := s.queued
+	s.mu.Unlock()
+	s.dequeued(bytes)
 }
 
 func (s *stream) write(w *bufio.Writer, frames []frame) error {
@@ -257,7 +277,9 @@
 func (s *stream) ReadObject(v any) error {
 	for {
 		data, complete, err := s.readFrame()
-		if err != nil {
+		if err != nil { // nothing is read any more
+			s.total.Release(int64(s.partsBytes))
+			s.partsBytes = 0
 			return err
 		}
 		if complete {
@@ -292,9 +314,13 @@
 	s.received.Add(int64(headerBytes + length))
 	if last {
 		s.partsBytes -= len(part)
+		s.total.Release(int64(len(part)))
 		delete(s.parts, number)
 		return data, true, nil
 	}
+	if !s.total.Reserve(int64(length)) {
+		return nil, false, errors.Wrap(errFrame, "too many incomplete messages of all peers")
+	}
 	s.partsBytes += length
 	s.parts[number] = data
 	return nil, false, nil
--- a/query/stats.go
+++ b/query/stats.go
@@ -1,7 +1,9 @@
 package query
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -95,6 +97,20 @@
 	}
 }
 
+// Limit removes the statistics of the services and groups that were used longest ago, beyond
+// a number of either.
+func (s *Stats) Limit(max int) {
+	for _, statistics := range []map[string]*serviceStats{s.services, s.groups} {
+		if len(statistics) <= max {
+			continue
+		}
+		names := slices.SortedFunc(maps.Keys(statistics), func(a, b string) int { return statistics[a].used.Compare(statistics[b].used) })
+		for _, name := range names[:len(names)-max] {
+			delete(statistics, name)
+		}
+	}
+}
+
 // LatencyQuantile returns the q-quantile, with q between 0 and 1, of the recent
 // latencies of a service. It reports false while too few latencies are known.
 func (s *Stats) LatencyQuantile(service string, q float64) (time.Duration, bool) {
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -71,7 +72,7 @@
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &Pool{
 		codec: codec, limit: limit, registry: registry,
-		memory: replyMemory{maxBody: defaultMaxBodyBytes, maxTotal: defaultMaxTotalBytes},
+		memory: replyMemory{maxBody: defaultMaxBodyBytes, total: membudget.New(defaultMaxTotalBytes)},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -86,12 +87,12 @@
 // LimitMemory bounds the body of a reply and all large bodies that are held together, in
 // bytes. It must be called before the first request.
 func (p *Pool) LimitMemory(body, total int64) {
-	p.memory.maxBody, p.memory.maxTotal = body, total
+	p.memory.maxBody, p.memory.total = body, membudget.New(total)
 }
 
 // Release returns the memory of replies, the sum of their Reply.Held. It must be called
 // once they are no longer used.
-func (p *Pool) Release(held int64) { p.memory.release(held) }
+func (p *Pool) Release(held int64) { p.memory.total.Release(held) }
 
 // Do sends the request and reads the reply. When ctx ends, a request that was not sent is
 // dropped; the reply to one that was sent is awaited for up to lingerTime.
