--- /dev/null
+++ b/internal/soak/heap_test.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var heapTime = flag.Duration("soak.heap", 12*time.Second, "duration of TestHeapStaysLevel")
+
+const (
+	// largestObject is the largest size of an object in the store, in bytes.
+	largestObject = 1 << 20
+	heapSample    = 200 * time.Millisecond
+	// heapParts is the number of parts of the run whose memory is compared.
+	heapParts = 6
+	// levelFactor and levelSlackMB are how much more the last part may take than the first one
+	// after the start.
+	levelFactor  = 1.15
+	levelSlackMB = 8
+)
+
+// largestRoutes returns routes that fill a configuration almost to the largest size.
+func largestRoutes(t *testing.T, shards []string, version uint64) []any {
+	t.Helper()
+	route := func(i int) map[string]any {
+		return map[string]any{"name": fmt.Sprintf("added-%d-%d", version%5, i), "host": "h", "path_prefix": fmt.Sprintf("/added%d/", i), "route_kind": "idempotent", "timeout_ms": 900 + version%7,
+			"target_latency_ms": 300, "max_attempts": maxAttempts, "fanout_services": shards, "top_k": 2, "min_shard_ratio": minimumShare}
+	}
+	data, err := json.Marshal(route(1000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const reserve = 32 << 10 // for the rest of the configuration
+	routes := make([]any, (largestObject-reserve)/(len(data)+1))
+	for i := range routes {
+		routes[i] = route(i)
+	}
+	return routes
+}
+
+// anonymousMB returns the memory of a process without its program file, in MB.
+func anonymousMB(t *testing.T, pid int) float64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(text)[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return float64(kilobytes) / 1024
+		}
+	}
+	t.Fatal("the status of the process tells no memory")
+	return 0
+}
+
+// Guards against memory that grows with what came and went: versions of the configuration of
+// the largest size, replicas that are replaced, callers that leave.
+func TestHeapStaysLevel(t *testing.T) {
+	f := newFleet(t, buildHost(t), tierSize{hosts: 2, shards: 24, replicas: 2}, grace)
+	var shards []string
+	for i := range f.tierSize.shards {
+		shards = append(shards, shardName(i))
+		for j := range f.tierSize.replicas {
+			f.addReplica(shardName(i), fmt.Sprintf("i-%d-%d", i, j))
+		}
+	}
+	f.configureWith(1, largestRoutes(t, shards, 1))
+	for i := range f.tierSize.hosts {
+		f.hosts = append(f.hosts, f.newHost(i))
+	}
+	f.startAll()
+	var others sync.WaitGroup
+	for i := range concurrentCallers {
+		others.Go(func() { f.sendRequests(rand.New(rand.NewPCG(1, uint64(i)))) })
+	}
+	others.Go(func() { f.changeEverything(shards) })
+	samples := make([][]float64, len(f.hosts))
+	for end := time.Now().Add(*heapTime); time.Now().Before(end); time.Sleep(heapSample) {
+		for i, h := range f.hosts {
+			samples[i] = append(samples[i], anonymousMB(t, h.command.Process.Pid))
+		}
+	}
+	close(f.stop)
+	others.Wait()
+	for i, h := range f.hosts {
+		checkLevel(t, h.name, samples[i])
+	}
+}
+
+// changeEverything writes versions of the configuration and replaces replicas until the run
+// ends.
+func (f *fleet) changeEverything(shards []string) {
+	const changeInterval = 400 * time.Millisecond
+	for version := uint64(2); ; version++ {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(changeInterval):
+		}
+		f.configureWith(version, largestRoutes(f.t, shards, version))
+		f.store.forget(historyKept)
+		if version%replaceEvery != 0 {
+			continue
+		}
+		f.mu.Lock()
+		old := f.replicas[int(version/replaceEvery)%len(f.replicas)]
+		f.mu.Unlock()
+		f.exchangeReplica(old, int(version))
+		f.store.put("servers", old.id, nil)
+	}
+}
+
+const (
+	// historyKept is the number of changes that the store keeps in this test, like one that
+	// forgets its history.
+	historyKept = 50
+	// replaceEvery is the number of versions for each replica that is replaced.
+	replaceEvery = 5
+)
+
+// checkLevel compares the memory of a host in the parts of the run, and prints its figures.
+func checkLevel(t *testing.T, name string, samples []float64) {
+	t.Helper()
+	var medians, largest []float64
+	for part := range slices.Chunk(samples, (len(samples)+heapParts-1)/heapParts) {
+		sorted := slices.Sorted(slices.Values(part))
+		medians, largest = append(medians, sorted[len(sorted)/2]), append(largest, sorted[len(sorted)-1])
+	}
+	t.Logf("%s: median of each sixth of the run in MB: %.0f, largest: %.0f", name, medians, largest)
+	if first, last := medians[1], medians[len(medians)-1]; last > first*levelFactor+levelSlackMB {
+		t.Errorf("%s: the memory rose from %.0f to %.0f MB", name, first, last)
+	}
+	if most := slices.Max(largest); most > hostMemoryMB {
+		t.Errorf("%s took %.0f of %d MB", name, most, hostMemoryMB)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -178,7 +178,10 @@
 	f.store.put("servers", id, r.registration("ready"))
 }
 
-func (f *fleet) configure(version uint64) {
+func (f *fleet) configure(version uint64) { f.configureWith(version, nil) }
+
+// configureWith writes a version of the configuration with added routes.
+func (f *fleet) configureWith(version uint64, added []any) {
 	names := []string{}
 	services := []map[string]any{}
 	for i := range f.tierSize.shards {
@@ -191,7 +194,7 @@
 	scatter, once := route("/scatter/", "idempotent"), route("/once/", "non_idempotent")
 	scatter["fanout_services"], scatter["top_k"], scatter["min_shard_ratio"] = names, 2, minimumShare
 	once["service"] = names[0]
-	f.store.put("config", "main", map[string]any{"version": version, "routes": []any{scatter, once}, "services": services,
+	f.store.put("config", "main", map[string]any{"version": version, "routes": append([]any{scatter, once}, added...), "services": services,
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 }
 
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -91,6 +92,16 @@
 	s.compacted, s.history = s.revision, nil
 }
 
+// forget drops the history but for the last changes.
+func (s *store) forget(kept int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if drop := len(s.history) - kept; drop > 0 {
+		s.compacted = s.history[drop-1].revision
+		s.history = slices.Clone(s.history[drop:])
+	}
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	mode := s.mode
