--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -66,7 +66,7 @@
 		time.Sleep(duration)
 		r.relay.switchTo(relayForward)
 	case 7:
-		r.behaviour.Store(int32(1 + choice%6))
+		r.behaviour.Store(int32(1 + choice%(uint64(behaviours)-1)))
 		time.Sleep(duration)
 		r.behaviour.Store(int32(serveNormally))
 	case 8:
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -24,6 +24,10 @@
 	duplicateReplies           // sends each reply twice
 	failRequests               // runs requests and replies with status 500
 	replyWithoutEnd            // runs requests and replies with header lines until the connection is closed
+	refuseAfterRun             // runs requests and replies with 503, without the statement that they did not run
+	cutReplies                 // runs requests and closes the connection in the middle of the reply's header
+
+	behaviours
 )
 
 // runCounter counts how often each request ran on all replicas together.
@@ -32,12 +36,18 @@
 	count map[string]int
 	// replicasOf holds the replicas that ran a request, by request ID and shard.
 	replicasOf map[string][]string
+	started    map[string]bool // requests that any replica ran
+}
+
+func newRunCounter() *runCounter {
+	return &runCounter{count: map[string]int{}, replicasOf: map[string][]string{}, started: map[string]bool{}}
 }
 
 // addReplica records that a replica of the shard ran the request.
 func (r *runCounter) addReplica(id, shard, replica string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.started[id] = true
 	key := id + " " + shard
 	if !slices.Contains(r.replicasOf[key], replica) {
 		r.replicasOf[key] = append(r.replicasOf[key], replica)
@@ -56,6 +66,13 @@
 	}
 }
 
+// ran reports whether any replica ran a request.
+func (r *runCounter) ran(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[id] > 0 || r.started[id]
+}
+
 func (r *runCounter) add(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -125,6 +142,9 @@
 			}
 			text = "X-More: 1\r\n"
 		}
+		if behaviour(r.behaviour.Load()) == cutReplies {
+			return
+		}
 	}
 }
 
@@ -151,8 +171,11 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	status := "200 OK"
-	if mode == failRequests {
+	switch mode {
+	case failRequests:
 		status = "500 Internal Server Error"
+	case refuseAfterRun:
+		status = "503 Service Unavailable"
 	}
 	head := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s", status, id, signal)
 	text := head + fmt.Sprintf("X-Server-Stamp: %s/%s/%s\r\nContent-Length: 16\r\n\r\n%-16s", r.service, r.id, id, r.service)
@@ -161,6 +184,8 @@
 		return head
 	case loseReplies:
 		return ""
+	case cutReplies:
+		return text[:len(head)-len(signal)-1]
 	case duplicateReplies:
 		return text + text
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -146,7 +146,7 @@
 func newFleet(t *testing.T, binary string, size tierSize, grace time.Duration) *fleet {
 	f := &fleet{
 		t: t, binary: binary, tierSize: size, store: newStore(), grace: grace, stop: make(chan struct{}),
-		counter: &runCounter{count: map[string]int{}, replicasOf: map[string][]string{}},
+		counter: newRunCounter(),
 	}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
@@ -425,7 +425,7 @@
 		}
 	}
 	for _, id := range f.refused {
-		if n := f.counter.runsOf(id); n > 0 {
+		if f.counter.ran(id) {
 			f.t.Errorf("REFUSED: %s was reported as not run, but ran", id)
 		}
 	}
