exchange: one stand-in for replicas that write what they like

startCutting and startEndless had the same loop around what they write. startWriting takes its place; the tests are as they were and pass with -race.

--- a/upstream/exchange/body_test.go
+++ b/upstream/exchange/body_test.go
@@ -22,19 +22,34 @@
 // endless is a stand-in for a replica whose answers begin with a text and go on with
 // another one until the caller closes the connection. It counts the bytes sent.
 type endless struct {
-	replica
+	*replica
 	sent atomic.Int64
 }
 
 func startEndless(t testing.TB, begin, more string) *endless {
+	t.Helper()
+	e := &endless{}
+	block := []byte(strings.Repeat(more, 1+4096/len(more)))
+	e.replica = startWriting(t, func(c net.Conn, id string) {
+		_, err := fmt.Fprintf(c, begin, id)
+		for err == nil {
+			var n int
+			n, err = c.Write(block)
+			e.sent.Add(int64(n))
+		}
+	})
+	return e
+}
+
+// startWriting starts a stand-in for a replica that reads one request from each connection
+// and writes what it likes.
+func startWriting(t testing.TB, write func(c net.Conn, id string)) *replica {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &endless{replica: replica{listener: l}}
 	t.Cleanup(func() { l.Close() })
-	block := []byte(strings.Repeat(more, 1+4096/len(more)))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -43,20 +58,13 @@
 			}
 			go func() {
 				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(c, begin, r.Header.Get("Id"))
-				for err == nil {
-					var n int
-					n, err = c.Write(block)
-					e.sent.Add(int64(n))
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					write(c, r.Header.Get("Id"))
 				}
 			}()
 		}
 	}()
-	return e
+	return &replica{listener: l}
 }
 
 const okHead = "HTTP/1.1 200 OK\r\nId: %s\r\n"
--- a/upstream/exchange/head_test.go
+++ b/upstream/exchange/head_test.go
@@ -1,11 +1,9 @@
 package exchange_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -26,31 +24,12 @@
 // the connection. The id of each request names the reply and the number of bytes.
 func startCutting(t *testing.T) *replica {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				var reply, bytes int
-				if _, err := fmt.Sscanf(r.Header.Get("Id"), "%d-%d", &reply, &bytes); err == nil {
-					_, _ = c.Write([]byte(fmt.Sprintf(wholeReplies[reply], r.Header.Get("Id"))[:bytes]))
-				}
-			}()
+	return startWriting(t, func(c net.Conn, id string) {
+		var reply, bytes int
+		if _, err := fmt.Sscanf(id, "%d-%d", &reply, &bytes); err == nil {
+			_, _ = c.Write([]byte(fmt.Sprintf(wholeReplies[reply], id)[:bytes]))
 		}
-	}()
-	return &replica{listener: l}
+	})
 }
 
 // Guards against a reply whose replica stopped in the middle of its head and that counts as
