Parameters don't hide the built-in max; a method that nothing called is gone

internal/entry, internal/scatter, query, membudget: limit and maxConnections take the place of max, and membudget.Budget.Max went.

--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -81,13 +81,13 @@
 	listener net.Listener
 	limits   atomic.Pointer[routing.Limits]
 
-	max   int // number of connections
-	mu    sync.Mutex
-	conns map[*callerConn]struct{}
+	maxConnections int
+	mu             sync.Mutex
+	conns          map[*callerConn]struct{}
 }
 
-func newCallerServer(handler http.Handler, listener net.Listener, max int) *callerServer {
-	s := &callerServer{listener: listener, max: max, conns: map[*callerConn]struct{}{}}
+func newCallerServer(handler http.Handler, listener net.Listener, maxConnections int) *callerServer {
+	s := &callerServer{listener: listener, maxConnections: maxConnections, conns: map[*callerConn]struct{}{}}
 	s.limits.Store(&defaultLimits)
 	s.http = &http.Server{Handler: handler, ConnContext: withCallerConn, MaxHeaderBytes: maxHeaderBytes, ConnState: s.stateChanged}
 	return s
@@ -113,7 +113,7 @@
 func (s *callerServer) add(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.max {
+	if len(s.conns) >= s.maxConnections {
 		oldest := s.longestIdle()
 		if oldest == nil {
 			klog.V(1).InfoS("Too many connections of callers", "connections", len(s.conns))
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -10,20 +10,17 @@
 
 // Budget is a number of bytes that its users share. It is safe for concurrent use.
 type Budget struct {
-	max  int64
+	size int64
 	used atomic.Int64
 }
 
-// New returns a budget of max bytes.
-func New(max int64) *Budget { return &Budget{max: max} }
-
-// Max returns the size of the budget.
-func (b *Budget) Max() int64 { return b.max }
+// New returns a budget of size bytes.
+func New(size int64) *Budget { return &Budget{size: size} }
 
 // Reserve takes bytes of the budget. It reports whether they were left; if not, it takes
 // nothing.
 func (b *Budget) Reserve(bytes int64) bool {
-	if b.used.Add(bytes) <= b.max {
+	if b.used.Add(bytes) <= b.size {
 		return true
 	}
 	b.used.Add(-bytes)
@@ -43,11 +40,11 @@
 	ErrExhausted = errors.New("the memory for content is used up")
 )
 
-// ReadAll reads content of at most max bytes. size is its announced size, negative if none
+// ReadAll reads content of at most limit bytes. size is its announced size, negative if none
 // is. The memory of content that is not small is reserved as the bytes arrive, since an
 // announced size costs its sender nothing; the caller has to release held.
-func (b *Budget) ReadAll(r io.Reader, size, max int64) (content []byte, held int64, err error) {
-	if size > max {
+func (b *Budget) ReadAll(r io.Reader, size, limit int64) (content []byte, held int64, err error) {
+	if size > limit {
 		return nil, 0, errors.Wrapf(ErrTooLarge, "%d bytes", size)
 	}
 	if size >= 0 && size <= smallBytes {
@@ -61,13 +58,13 @@
 			content, held = nil, 0
 		}
 	}()
-	content = make([]byte, 0, min(smallBytes, max+1))
+	content = make([]byte, 0, min(smallBytes, limit+1))
 	for {
 		n, err := r.Read(content[len(content):cap(content)])
 		content = content[:len(content)+n]
 		switch {
-		case int64(len(content)) > max:
-			return nil, held, errors.Wrapf(ErrTooLarge, "more than %d bytes", max)
+		case int64(len(content)) > limit:
+			return nil, held, errors.Wrapf(ErrTooLarge, "more than %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			return content, held, nil
 		case err != nil:
@@ -75,7 +72,7 @@
 		case len(content) < cap(content):
 			continue
 		}
-		larger := min(2*int64(cap(content)), max+1) // one more byte shows that there are too many
+		larger := min(2*int64(cap(content)), limit+1) // one more byte shows that there are too many
 		if !b.Reserve(larger - held) {
 			return nil, held, ErrExhausted
 		}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -299,12 +299,12 @@
 }
 
 // Prune removes the statistics that were not used since the given time and, of the others,
-// all but the max services of each stripe that were used last.
-func (e *Executor) Prune(since time.Time, max int) {
+// all but the limit services of each stripe that were used last.
+func (e *Executor) Prune(since time.Time, limit int) {
 	for _, s := range e.stripes {
 		s.mu.Lock()
 		s.stats.Prune(since)
-		s.stats.Limit(max)
+		s.stats.Limit(limit)
 		s.mu.Unlock()
 	}
 }
--- a/query/stats.go
+++ b/query/stats.go
@@ -99,13 +99,13 @@
 
 // Limit removes the statistics of the services and groups that were used longest ago, beyond
 // a number of either.
-func (s *Stats) Limit(max int) {
+func (s *Stats) Limit(limit int) {
 	for _, statistics := range []map[string]*serviceStats{s.services, s.groups} {
-		if len(statistics) <= max {
+		if len(statistics) <= limit {
 			continue
 		}
 		names := slices.SortedFunc(maps.Keys(statistics), func(a, b string) int { return statistics[a].used.Compare(statistics[b].used) })
-		for _, name := range names[:len(names)-max] {
+		for _, name := range names[:len(names)-limit] {
 			delete(statistics, name)
 		}
 	}
