replicas, watchers, follow: what changes alone bring is bounded in bytes

Cause: the bound of a list (M/8) applied when it was read whole. Entries that came with watch events, the runs remembered after them, the names that a watcher knows and the data centres that were once out had no bound, so that another writer of the store could take a host's memory.

Change: the registry of replicas counts its bytes (M/8). What is known of runs without an entry goes first, then new entries are left out, counted as replicas.left_out and logged; known replicas stay in use. Once there is room again the list is read anew. A list for this that fails is no outage, and is asked for more rarely. A watcher forgets the names of its objects beyond its history's bound and restarts the history at the next list. Data centres that are back are forgotten.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -62,6 +62,11 @@
 	oversized int // watches in a row whose response was too large
 	available bool
 	pause     time.Duration // after the last response
+	// relist is set while the whole list is asked for although the changes could be.
+	relist bool
+	// relistFailures counts such lists that failed in a row, and skipped the requests for
+	// one that are ignored from now on.
+	relistFailures, skipped int
 }
 
 // NewMachine returns a machine whose first call is a list.
@@ -69,7 +74,7 @@
 
 // Next returns the next call to make.
 func (m *Machine) Next() Step {
-	s := Step{List: !m.listed, From: m.revision, Delay: m.pause}
+	s := Step{List: !m.listed || m.relist, From: m.revision, Delay: m.pause}
 	switch {
 	case m.failures > 0:
 		s.Delay = m.backoff(m.failures)
@@ -79,13 +84,27 @@
 	return s
 }
 
+// ListAgain makes the next call a list. If that fails, changes are asked for as before, and
+// more and more requests to list again are ignored.
+func (m *Machine) ListAgain() {
+	if m.skipped > 0 {
+		m.skipped--
+		return
+	}
+	m.relist = true
+}
+
 // backoff returns the wait after a number of failures in a row.
 func (m *Machine) backoff(failures int) time.Duration {
 	return min(m.cfg.MaxBackoff, m.cfg.InitialBackoff<<min(failures-1, maxDoublings))
 }
 
-// maxDoublings keeps the backoff from overflowing.
-const maxDoublings = 16
+const (
+	// maxDoublings keeps the backoff from overflowing.
+	maxDoublings = 16
+	// maxSkipDoublings bounds the requests to list again that are ignored after a failure.
+	maxSkipDoublings = 6
+)
 
 // CallSucceeded records the revision of a response and the pause before the next call.
 // It reports whether the store was unavailable before.
@@ -93,6 +112,9 @@
 	recovered = !m.available
 	m.available = true
 	m.failures = 0
+	if s.List {
+		m.relist, m.relistFailures, m.skipped = false, 0, 0
+	}
 	m.pause = pause
 	if s.List || revision > m.revision {
 		m.revision = revision
@@ -108,6 +130,12 @@
 // Compacted history, or changes that are too large, do not mean that the store is
 // unavailable: the list is read again.
 func (m *Machine) CallFailed(err error) (outage bool) {
+	if m.relist { // if the store is unavailable, the next call shows it
+		m.relist = false
+		m.relistFailures++
+		m.skipped = 1 << min(m.relistFailures, maxSkipDoublings)
+		return false
+	}
 	switch {
 	case errors.Is(err, ErrCompacted):
 		m.listed = false
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,7 +119,10 @@
 func (s *script) Watch(context.Context, uint64) (follow.Response[string], error) { return s.next() }
 
 // recordingSink records the calls of its methods.
-type recordingSink struct{ events []string }
+type recordingSink struct {
+	events    []string
+	needsList bool
+}
 
 func (r *recordingSink) Replace(_ time.Time, items []follow.Item[string], _ uint64) {
 	r.events = append(r.events, "replace "+items[0].Name)
@@ -126,6 +130,7 @@
 func (r *recordingSink) Apply(_ time.Time, items []follow.Item[string], _ uint64) {
 	r.events = append(r.events, "apply "+items[0].Name)
 }
+func (r *recordingSink) NeedsList() bool              { return r.needsList }
 func (r *recordingSink) Available(time.Time)          { r.events = append(r.events, "available") }
 func (r *recordingSink) Unavailable(time.Time, error) { r.events = append(r.events, "unavailable") }
 func (r *recordingSink) CallFailed(error)             {}
@@ -150,3 +155,24 @@
 		}
 	}
 }
+
+// Guards against objects that an incomplete copy never gets, and against changes that are lost
+// while the list can't be read.
+func TestIncompleteCopyListsAgain(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	sink := &recordingSink{}
+	ok := func(name string, needsList bool) func() (follow.Response[string], error) {
+		return func() (follow.Response[string], error) {
+			sink.needsList = needsList
+			return follow.Response[string]{Items: []follow.Item[string]{{Name: name}}, Revision: 1}, nil
+		}
+	}
+	fail := func() (follow.Response[string], error) { return follow.Response[string]{}, errUnavailable }
+	follow.Run(ctx, config, &script{calls: []func() (follow.Response[string], error){
+		ok("a", false), ok("b", true), fail, ok("c", true), ok("d", true), ok("e", true), ok("f", false), ok("g", false)}, done: cancel}, sink)
+	want := "available; replace a; apply b; apply c; apply d; apply e; replace f; apply g"
+	if got := strings.Join(sink.events, "; "); got != want {
+		t.Errorf("the sink got %s, want %s", got, want)
+	}
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,6 +21,8 @@
 	Replace(now time.Time, items []Item[T], revision uint64)
 	// Apply applies changes in order.
 	Apply(now time.Time, items []Item[T], revision uint64)
+	// NeedsList reports whether the copy lacks objects that a whole list would bring.
+	NeedsList() bool
 	// Available and Unavailable report that the store has become available or
 	// unavailable.
 	Available(now time.Time)
@@ -58,8 +60,11 @@
 		}
 		if step.List {
 			sink.Replace(now, response.Items, response.Revision)
-		} else {
-			sink.Apply(now, response.Items, response.Revision)
+			continue
+		}
+		sink.Apply(now, response.Items, response.Revision)
+		if sink.NeedsList() {
+			machine.ListAgain()
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,7 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s)}
+	e := &Entry{settings: s, callers: codec, view: newView(s.registryBytes(), registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s)}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
 	e.pool.LimitMemory(s.memoryShare(replyShare), s.memoryShare(repliesShare))
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,7 +27,7 @@
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
-// storeList is a stand-in for one list of the store.
+// storeList is a stand-in for one list of the store, with all its changes.
 type storeList[T any] struct {
 	mu       sync.Mutex
 	items    []follow.Item[T]
@@ -40,7 +42,13 @@
 func (l *storeList[T]) List(context.Context) (follow.Response[T], error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return follow.Response[T]{Items: append([]follow.Item[T]{}, l.items...), Revision: l.revision}, nil
+	listed := map[string]follow.Item[T]{}
+	for _, item := range l.items {
+		if listed[item.Name] = item; item.Removed {
+			delete(listed, item.Name)
+		}
+	}
+	return follow.Response[T]{Items: slices.Collect(maps.Values(listed)), Revision: l.revision}, nil
 }
 
 func (l *storeList[T]) Watch(ctx context.Context, from uint64) (follow.Response[T], error) {
@@ -56,7 +64,19 @@
 			return follow.Response[T]{}, ctx.Err()
 		}
 	}
-	return l.List(ctx)
+	return l.changesAfter(from), nil
+}
+
+func (l *storeList[T]) changesAfter(from uint64) follow.Response[T] {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	response := follow.Response[T]{Revision: l.revision}
+	for _, item := range l.items {
+		if item.Revision > from {
+			response.Items = append(response.Items, item)
+		}
+	}
+	return response
 }
 
 // put adds a change and ends the pending watches.
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -39,6 +39,8 @@
 	minHistoryBytes = 2 << 20
 	// listsShare bounds the bytes of one list that is read from the store.
 	listsShare = 1.0 / 8
+	// registryShare bounds the registry of replicas.
+	registryShare = 1.0 / 8
 	// peersShare bounds the messages between hosts that wait to be written or are incomplete.
 	peersShare = 1.0 / 16
 )
@@ -55,6 +57,9 @@
 // ListBytes is the bound of one list that is read from the store.
 func (s Settings) ListBytes() int64 { return s.memoryShare(listsShare) }
 
+// registryBytes is the bound of the registry of replicas.
+func (s Settings) registryBytes() int64 { return s.memoryShare(registryShare) }
+
 // PeerBytes is the bound of the messages between hosts that this host holds.
 func (s Settings) PeerBytes() int { return int(s.memoryShare(peersShare)) }
 
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -10,6 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/marigoldlever/marigoldlever/follow"
+	"github.com/marigoldlever/marigoldlever/replicas"
+	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
@@ -147,3 +152,42 @@
 		t.Errorf("after the others had ended a request got %d", g.status)
 	}
 }
+
+// oddReplica is a change of another writer's entry, as large as an object may be in proportion
+// to the memory of a small host.
+func oddReplica(i int, removed bool) follow.Item[replicas.Replica] {
+	id := fmt.Sprint("odd-", i)
+	return follow.Item[replicas.Replica]{Name: id, Removed: removed, Value: replicas.Replica{
+		ID: id, Service: "odd" + strings.Repeat("x", 500), Address: "127.0.0.1:1", DataCentre: "dc", Started: 1}}
+}
+
+// Guards against a registry of replicas that grows with changes beyond its share of the memory,
+// and against replicas that stay unused once there is room for them. The tier serves all the
+// while.
+func TestRegistryOfReplicasIsBounded(t *testing.T) {
+	const memoryMB, odd = 1, 200 // room for some 120 entries
+	tr := startSmallTier(t, 1, memoryMB, 0)
+	for i := range odd {
+		tr.registry.put(oddReplica(i, false))
+	}
+	late := tr.addReplica(t, "late", "late")
+	leftOut := metrics.GetOrRegisterCounter("replicas.left_out", tr.metrics)
+	for deadline := time.Now().Add(10 * time.Second); leftOut.Count() < odd/4; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d entries were left out", leftOut.Count())
+		}
+	}
+	if g := tr.mustAsk(t, "GET", "/one/x", ""); g.status != http.StatusOK {
+		t.Errorf("beside many entries a request got %d", g.status)
+	}
+	for i := range odd {
+		tr.registry.put(oddReplica(i, true))
+	}
+	tr.configuration.put(follow.Item[*routing.Table]{Name: "main", Value: testTable(2, []string{"late"})})
+	for deadline := time.Now().Add(10 * time.Second); late.requests.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the replica that was left out gets no request")
+		}
+		tr.mustAsk(t, "GET", "/one/x", "")
+	}
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -34,6 +34,7 @@
 	dataCentresOut map[string]bool
 	leaving        metrics.Counter // replicas that said in a reply that they are leaving
 	paused         metrics.Counter // pauses that replicas asked for
+	leftOut        metrics.Counter // entries for which the registry had no room
 	replicasListed bool            // whether the replicas were listed once
 	outListed      bool            // whether the data centres that are out were listed once
 	// caughtUpAt is when the first lists, which may be out of date, can be relied on.
@@ -45,14 +46,18 @@
 // just started could use a replica that had left before.
 const catchUpTime = 100 * time.Millisecond
 
-func newView(registry metrics.Registry) *view {
+// newView returns a view that keeps a registry of at most registryBytes.
+func newView(registryBytes int64, registry metrics.Registry) *view {
+	entries := replicas.New(lapsedGrace)
+	entries.LimitBytes(int(registryBytes))
 	return &view{
 		onTable:        func(*routing.Table) {},
-		registry:       replicas.New(lapsedGrace),
+		registry:       entries,
 		cold:           capacity.NewColdRateLimiter[replicas.Incarnation](),
 		dataCentresOut: make(map[string]bool),
 		leaving:        metrics.GetOrRegisterCounter("replicas.leaving", registry),
 		paused:         metrics.GetOrRegisterCounter("replicas.pauses", registry),
+		leftOut:        metrics.GetOrRegisterCounter("replicas.left_out", registry),
 	}
 }
 
@@ -209,6 +214,9 @@
 // listLog logs the availability of a list of the store.
 type listLog struct{ list string }
 
+// NeedsList implements follow.Sink. Lists whose copy is never incomplete need nothing more.
+func (l listLog) NeedsList() bool { return false }
+
 func (l listLog) Available(time.Time) { klog.InfoS("Store reached", "list", l.list) }
 
 func (l listLog) Unavailable(_ time.Time, err error) { klog.ErrorS(err, "Store lost", "list", l.list) }
@@ -283,7 +291,9 @@
 	}
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
-	s.view.registry.Replace(now, list)
+	if leftOut := s.view.registry.Replace(now, list); leftOut > 0 {
+		s.recordLeftOut(leftOut, list[len(list)-1].ID)
+	}
 	if !s.view.replicasListed {
 		s.view.replicasListed = true
 		s.view.firstListed(now)
@@ -300,12 +310,40 @@
 			klog.InfoS("Replica removed", "replica", item.Name, "revision", revision)
 			continue
 		}
-		s.view.registry.Put(now, item.Value)
+		if !s.view.registry.Put(now, item.Value) {
+			s.recordLeftOut(1, item.Name)
+			continue
+		}
 		klog.InfoS("Replica changed", "replica", item.Name, "service", item.Value.Service, "draining", item.Value.Draining,
 			"coldMS", item.Value.Cold.Milliseconds(), "revision", revision)
 	}
 }
 
+// recordLeftOut records entries for which the registry has no room. The caller holds mu.
+func (s replicaSink) recordLeftOut(entries int, last string) {
+	s.view.leftOut.Inc(int64(entries))
+	klog.ErrorS(errRegistryFull, "Replicas left out", "replicas", entries, "last", last)
+}
+
+// errRegistryFull reports that the registry of replicas has reached its share of the memory.
+var errRegistryFull = errors.New("no memory is left for the registry of replicas")
+
+// NeedsList implements follow.Sink.
+func (s replicaSink) NeedsList() bool {
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	return s.view.registry.NeedsList()
+}
+
+// Bounds of the data centres that are out, far above what any deployment has.
+const (
+	maxDataCentresOut = 4096
+	maxNameBytes      = 256
+)
+
+// errNoDataCentre reports an entry that can't name a data centre.
+var errNoDataCentre = errors.New("not the name of a data centre, or too many of them")
+
 // outSink receives the data centres that are out.
 type outSink struct {
 	listLog
@@ -327,7 +365,15 @@
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
 	for _, item := range items {
-		s.view.dataCentresOut[item.Name] = !item.Removed
+		switch {
+		case item.Removed:
+			delete(s.view.dataCentresOut, item.Name)
+		case len(item.Name) > maxNameBytes || len(s.view.dataCentresOut) >= maxDataCentresOut:
+			klog.ErrorS(errNoDataCentre, "Data centre left out", "bytes", len(item.Name), "out", len(s.view.dataCentresOut))
+			continue
+		default:
+			s.view.dataCentresOut[item.Name] = true
+		}
 		klog.InfoS("Data centre changed", "dataCentre", item.Name, "out", !item.Removed, "revision", revision)
 	}
 	s.view.registry.SetDataCentresOut(s.view.dataCentresOut)
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -6,13 +6,25 @@
 // lapse while the store is unavailable come back shortly after it is available again if
 // their replica is alive; until then a Registry continues to use these replicas. What a
 // replica says in its replies belongs to its incarnation and outlasts its entry.
+//
+// What a Registry holds is bounded in bytes, whatever the store lists: what is known of
+// incarnations without an entry goes first, then entries that are new.
 package replicas
 
 import (
+	"container/list"
+	"math"
 	"slices"
 	"time"
 )
 
+const (
+	// entryOverhead and runOverhead are the approximate memory of an entry with its run, and
+	// of a run without an entry, besides their texts, in bytes.
+	entryOverhead = 512
+	runOverhead   = 320
+)
+
 // Replica is one entry of the registry.
 type Replica struct {
 	ID         string
@@ -42,6 +54,14 @@
 	return Incarnation{ID: r.ID, Address: r.Address, Started: r.Started}
 }
 
+// size is the approximate memory of a run without an entry, in bytes.
+func (i Incarnation) size() int { return runOverhead + len(i.ID) + len(i.Address) }
+
+// size is the approximate memory of the entry, in bytes.
+func (r *Replica) size() int {
+	return entryOverhead + len(r.ID) + len(r.Service) + len(r.Address) + len(r.DataCentre)
+}
+
 // entry is a registered replica.
 type entry struct {
 	Replica
@@ -63,26 +83,48 @@
 }
 
 // Registry holds the replicas by service. It is not safe for concurrent use.
+//
+// Invariants: bytes is the sum of the sizes of entries and unregistered, and at most maxBytes;
+// unregistered is ordered by the time since which its runs have had no entry.
 type Registry struct {
 	// lapsedGrace is how long lapsed entries are kept after the store is available
 	// again.
 	lapsedGrace time.Duration
 	entries     map[string]*entry
 	services    map[string][]*entry
-	runs        map[Incarnation]*run // of all entries, and of those that were dropped lately
+	runs        map[Incarnation]*run // of all entries and of unregistered
 	out         map[string]bool      // data centres whose replicas get no new work
 	available   bool
 	changedAt   time.Time // when available last changed
+
+	unregistered *list.List // of unregisteredRun
+	bytes        int
+	maxBytes     int
+	leftOut      bool // whether an entry was left out since the last whole list
 }
 
-// New returns an empty registry whose store is not available yet.
+// New returns an empty registry of any size whose store is not available yet.
 func New(lapsedGrace time.Duration) *Registry {
 	return &Registry{
 		lapsedGrace: lapsedGrace, entries: map[string]*entry{}, services: map[string][]*entry{},
 		runs: map[Incarnation]*run{}, out: map[string]bool{},
+		unregistered: list.New(), maxBytes: math.MaxInt,
 	}
 }
 
+// LimitBytes bounds what the registry holds. It must be called before the first entry.
+func (r *Registry) LimitBytes(bytes int) { r.maxBytes = bytes }
+
+// roomShare is the share of the largest size below which a list is worth reading again for
+// the entries that were left out.
+const roomShare = 7.0 / 8
+
+// NeedsList reports whether entries were left out of the registry and there is room again, so
+// that a whole list brings them.
+func (r *Registry) NeedsList() bool {
+	return r.leftOut && float64(r.bytes) < roomShare*float64(r.maxBytes)
+}
+
 // SetAvailable records whether the store is available.
 func (r *Registry) SetAvailable(now time.Time, available bool) {
 	if r.available != available {
@@ -96,15 +138,24 @@
 	return !r.available || now.Before(r.changedAt.Add(r.lapsedGrace))
 }
 
-// Put adds or updates an entry, unless its revision is older than the known one.
-func (r *Registry) Put(now time.Time, rep Replica) {
+// Put adds or updates an entry, unless its revision is older than the known one. It reports
+// false if there is no room for the entry; its replica then is not in the registry.
+func (r *Registry) Put(now time.Time, rep Replica) bool {
 	e := r.entries[rep.ID]
+	if e != nil && rep.Revision < e.Revision {
+		return true
+	}
+	if !r.makeRoom(now, e, rep) {
+		r.leftOut = true
+		if e != nil {
+			r.drop(now, e)
+		}
+		return false
+	}
 	switch {
 	case e == nil:
 		e = &entry{run: r.registerRun(rep.Incarnation())}
 		r.entries[rep.ID] = e
-	case rep.Revision < e.Revision:
-		return
 	case e.Service != rep.Service:
 		r.unlink(e)
 	}
@@ -120,6 +171,24 @@
 	if !slices.Contains(r.services[rep.Service], e) {
 		r.services[rep.Service] = append(r.services[rep.Service], e)
 	}
+	r.forgetRuns(now)
+	return true
+}
+
+// makeRoom adds the size of a replica to that of the registry, in place of that of its entry,
+// if it has one. It reports whether there is room, and changes the size only then.
+func (r *Registry) makeRoom(now time.Time, e *entry, rep Replica) bool {
+	more := rep.size()
+	if e != nil {
+		more -= e.size()
+	}
+	r.bytes += more
+	r.forgetRuns(now)
+	if r.bytes <= r.maxBytes || more <= 0 {
+		return true
+	}
+	r.bytes -= more
+	return false
 }
 
 // Remove records that an entry is gone from the store. Unless its replica is draining,
@@ -136,18 +205,25 @@
 	r.drop(now, e)
 }
 
-// Replace sets all entries to a complete list.
-func (r *Registry) Replace(now time.Time, list []Replica) {
+// Replace sets all entries to a complete list. It returns the number of those for which there
+// is no room.
+func (r *Registry) Replace(now time.Time, list []Replica) (leftOut int) {
 	listed := make(map[string]bool, len(list))
 	for _, rep := range list {
 		listed[rep.ID] = true
-		r.Put(now, rep)
 	}
 	for id := range r.entries {
 		if !listed[id] {
 			r.Remove(now, id)
 		}
 	}
+	r.leftOut = false
+	for _, rep := range list {
+		if !r.Put(now, rep) {
+			leftOut++
+		}
+	}
+	return leftOut
 }
 
 // Expire drops the lapsed entries once the registry has settled, and returns their ids.
@@ -172,6 +248,7 @@
 	r.unlink(e)
 	r.unregisterRun(now, e.Incarnation())
 	delete(r.entries, e.ID)
+	r.bytes -= e.size()
 }
 
 func (r *Registry) unlink(e *entry) {
--- a/replicas/run.go
+++ b/replicas/run.go
@@ -1,6 +1,9 @@
 package replicas
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
 // maxPause bounds the pause that a replica may ask for, so that a wrong value does not
 // put the replica out of use for good.
@@ -21,9 +24,15 @@
 	pausedUntil time.Time // the replica wants no requests from this host until then
 	// malformed is set when the run sent a value that can't be decoded.
 	malformed bool
-	// unregisteredAt is when the last entry of the run was dropped; zero while there is
+	// unregistered is the run's place among the runs without an entry; nil while there is
 	// one.
-	unregisteredAt time.Time
+	unregistered *list.Element
+}
+
+// unregisteredRun is a run without an entry.
+type unregisteredRun struct {
+	Incarnation
+	since time.Time
 }
 
 // registerRun returns what is known about an incarnation that has an entry now.
@@ -33,7 +42,11 @@
 		known = &run{}
 		r.runs[incarnation] = known
 	}
-	known.unregisteredAt = time.Time{}
+	if known.unregistered != nil {
+		r.unregistered.Remove(known.unregistered)
+		r.bytes -= incarnation.size()
+		known.unregistered = nil
+	}
 	return known
 }
 
@@ -44,15 +57,21 @@
 		delete(r.runs, incarnation)
 		return
 	}
-	r.runs[incarnation].unregisteredAt = now
+	r.runs[incarnation].unregistered = r.unregistered.PushBack(unregisteredRun{incarnation, now})
+	r.bytes += incarnation.size()
 }
 
-// forgetRuns removes the runs that have had no entry for runRetention.
+// forgetRuns removes the runs that have had no entry for runRetention, and those that have
+// had none longest while the registry is over its size.
 func (r *Registry) forgetRuns(now time.Time) {
-	for incarnation, known := range r.runs {
-		if !known.unregisteredAt.IsZero() && now.Sub(known.unregisteredAt) >= runRetention {
-			delete(r.runs, incarnation)
+	for oldest := r.unregistered.Front(); oldest != nil; oldest = r.unregistered.Front() {
+		u := oldest.Value.(unregisteredRun)
+		if now.Sub(u.since) < runRetention && r.bytes <= r.maxBytes {
+			return
 		}
+		r.unregistered.Remove(oldest)
+		r.bytes -= u.size()
+		delete(r.runs, u.Incarnation)
 	}
 }
 
--- a/watchers/list.go
+++ b/watchers/list.go
@@ -32,7 +32,8 @@
 // start together, those of a small host can't.
 //
 // Invariants: history holds the changes up to revision; known holds the names and revisions
-// of all objects at revision.
+// of all objects at revision, or is nil if these take more than maxBytes; knownBytes is their
+// approximate memory.
 type list struct {
 	mu       sync.Mutex
 	listed   bool
@@ -40,14 +41,20 @@
 	revision uint64
 	known    map[string]uint64
 
+	maxBytes   int // of known
+	knownBytes int
+
 	lastAnswer   time.Time     // when the store last answered this host; zero if never
 	failingSince time.Time     // when calls to the store began to fail, here or at a watcher; zero if the last one was answered
 	recovered    time.Time     // when the store answered again after a failure
 	changed      chan struct{} // closed at the next change
 }
 
+// knownOverhead is the approximate memory of a known object besides its name, in bytes.
+const knownOverhead = 64
+
 func newList(maxBytes int) *list {
-	return &list{history: newHistory(maxBytes), changed: make(chan struct{}), known: map[string]uint64{}}
+	return &list{history: newHistory(maxBytes), changed: make(chan struct{}), known: map[string]uint64{}, maxBytes: maxBytes}
 }
 
 // replace records that this host has read a whole list. If it had read one before, the
@@ -56,7 +63,7 @@
 func (l *list) replace(a follow.Response[json.RawMessage]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.listed && a.Revision >= l.revision {
+	if l.listed && l.known != nil && a.Revision >= l.revision {
 		l.history.addGap(l.revision, a.Revision)
 		l.history.add(l.difference(a.Items), a.Revision)
 	} else {
@@ -64,7 +71,7 @@
 	}
 	l.listed = true
 	l.revision = a.Revision
-	clear(l.known)
+	l.known, l.knownBytes = map[string]uint64{}, 0
 	l.learn(a.Items)
 	l.notify()
 }
@@ -87,13 +94,26 @@
 	return changes
 }
 
-// learn applies changes to the known objects.
+// learn applies changes to the known objects. If they become too many they are forgotten, so
+// that the next whole list restarts the history.
 func (l *list) learn(items []Object) {
 	for _, o := range items {
-		if o.Removed {
+		if l.known == nil {
+			return
+		}
+		_, known := l.known[o.Name]
+		switch {
+		case o.Removed && known:
 			delete(l.known, o.Name)
-		} else {
+			l.knownBytes -= knownOverhead + len(o.Name)
+		case !o.Removed:
 			l.known[o.Name] = o.Revision
+			if !known {
+				l.knownBytes += knownOverhead + len(o.Name)
+			}
+		}
+		if l.knownBytes > l.maxBytes {
+			l.known, l.knownBytes = nil, 0
 		}
 	}
 }
--- a/watchers/list_test.go
+++ b/watchers/list_test.go
@@ -243,3 +243,27 @@
 		t.Errorf("state is %+v, %v, want no changes", s, err)
 	}
 }
+
+// Guards against names of objects that grow with changes alone. Once they are too many they are
+// forgotten, and hosts that know an earlier revision read the store.
+func TestKnownObjectsAreBounded(t *testing.T) {
+	l := newList(testHistoryBytes)
+	l.recordCall(t0, true)
+	l.replace(response{Revision: 1})
+	for revision := uint64(2); revision < 1000; revision++ {
+		l.apply(response{Items: []Object{object(fmt.Sprint("o-", revision), revision)}, Revision: revision}, l.revision, false)
+		if bytes := len(l.known) * knownOverhead; bytes > testHistoryBytes {
+			t.Fatalf("at revision %d, %d names are kept", revision, len(l.known))
+		}
+	}
+	l.replace(response{Revision: 2000})
+	if _, err := l.changesAfter(t0, 999, time.Second); !errors.Is(err, errRevisionTooOld) {
+		t.Errorf("changes across a list whose difference is not known: %v, want errRevisionTooOld", err)
+	}
+	l.apply(response{Items: []Object{object("a", 2001)}, Revision: 2001}, l.revision, false)
+	l.replace(response{Items: []Object{object("b", 2002)}, Revision: 2002})
+	s, err := l.changesAfter(t0, 2001, time.Second)
+	if err != nil || len(s.response.Items) != 2 {
+		t.Errorf("changes across the next list: %v, %v, want that a is gone and b is there", s.response.Items, err)
+	}
+}
--- a/watchers/watchers_test.go
+++ b/watchers/watchers_test.go
@@ -177,6 +177,7 @@
 	}
 }
 
+func (m *testHost) NeedsList() bool              { return false }
 func (m *testHost) Available(time.Time)          { m.record("available") }
 func (m *testHost) Unavailable(time.Time, error) { m.record("unavailable") }
 func (m *testHost) CallFailed(error)             {}
