membudget: the shares of a host's memory in one place

Cause: the shares of the memory limit stood in internal/entry, while the daemons of the own interface need the same ones. Change: membudget.Host with the shares and what follows from them; entries use it. Behaviour is the same; the tests of memory pass unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/marigoldlever/marigoldlever/follow"
 	"github.com/marigoldlever/marigoldlever/internal/lifecycle"
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/internal/wait"
 	"github.com/marigoldlever/marigoldlever/query"
@@ -83,10 +84,10 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(s.registryBytes(), registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s)}
+	e := &Entry{settings: s, callers: codec, view: newView(s.memoryLimit().Share(membudget.RegistryShare), registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s.memoryLimit())}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
-	e.pool.LimitMemory(s.memoryShare(replyShare), s.memoryShare(repliesShare))
+	e.pool.LimitMemory(s.memoryLimit().Share(membudget.ReplyShare), s.memoryLimit().Share(membudget.RepliesShare))
 	e.reach = newReachability(e.pool.Probe, e.view.sampleAddresses)
 	e.scatter = scatter.New(scatter.Config{
 		Stripes:     1,
@@ -115,7 +116,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if e.settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(e.settings.memoryShare(memoryLimitShare))
+		debug.SetMemoryLimit(e.settings.memoryLimit().Share(membudget.CollectorShare))
 		debug.SetGCPercent(collectorPercent(e.settings.Cores))
 	}
 	servers, err := e.listen()
@@ -163,6 +164,6 @@
 
 func (e *Entry) housekeep(now time.Time) {
 	e.pool.RetainOnly(e.view.expire(now))
-	e.scatter.Prune(now.Add(-maxStatisticsAge), e.settings.maxStatistics())
+	e.scatter.Prune(now.Add(-maxStatisticsAge), e.settings.memoryLimit().Statistics())
 	e.overload.prune(now.Add(-maxStatisticsAge))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -158,7 +158,7 @@
 	if !available.enoughConnections(route) {
 		return out.refuseUnsent(route, refusedRetryAfter(route), "too few replicas have room")
 	}
-	release, ok := e.memory.reserveParts(len(names))
+	release, ok := e.memory.parts.Reserve(len(names))
 	if !ok {
 		return out.refuseUnsent(route, refusedRetryAfter(route), "too many requests are in progress")
 	}
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -81,7 +81,7 @@
 		return gatherReply{Refused: "this host is leaving"}, nil
 	}
 	defer e.lifecycle.End(drain.OwnerWork)
-	release, ok := e.memory.reserveParts(len(route.Shards))
+	release, ok := e.memory.parts.Reserve(len(route.Shards))
 	if !ok {
 		return gatherReply{Refused: "too many requests are in progress"}, nil
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	s.callers = newCallerServer(e, listener, e.settings.maxConnections())
+	s.callers = newCallerServer(e, listener, e.settings.memoryLimit().Connections())
 	for _, address := range []string{e.settings.ReadinessAddress, e.settings.MetricsAddress} {
 		if address == "" {
 			continue
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -73,7 +73,7 @@
 // WatcherConfig returns the settings of the watchers that keep the bounds.
 func (s Settings) WatcherConfig(replyGrace time.Duration) watchers.Config {
 	c := s.Bounds.WatcherConfig(replyGrace)
-	c.HistoryBytes = int(max(s.memoryShare(historyShare), minHistoryBytes))
+	c.HistoryBytes = int(max(s.memoryLimit().Share(historyShare), minHistoryBytes))
 	return c
 }
 
