daemon: what a host of the own interface keeps is bounded from its memory

Cause: these daemons were bounded by count and settings alone: 1,000 requests with bodies of 1 MB, patches without a bound on their number, replies of 8 MB each, 4,000 submissions of any size, 256 MB of messages.

Change: [limits] memory_mb (256), and shares of it as for entries: a request holds its body and its replies until its answer is written (membudget.Hold); requests at upstreams, for callers and for other hosts; connections (x/net/netutil); submissions that wait; journals (checked with the settings); messages between hosts, statistics, the host list; the collector's soft limit. A host without memory for another host's work declines it as one that leaves does, so that it runs elsewhere.

The registry of replicas of entries takes M/16 instead of M/8, so that all shares stay below the limit.

--- a/cmd/marigoldleverd/main.go
+++ b/cmd/marigoldleverd/main.go
@@ -6,11 +6,13 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"syscall"
 
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/internal/daemon"
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
 	"github.com/marigoldlever/marigoldlever/internal/signals"
 	"github.com/marigoldlever/marigoldlever/internal/tracing"
@@ -71,6 +73,7 @@
 		klog.ErrorS(err, "Cannot start tracing")
 		return exitFailed
 	}
+	debug.SetMemoryLimit(membudget.Host(s.Limits.MemoryMB).Share(membudget.CollectorShare))
 	d, err := daemon.New(s)
 	if err != nil {
 		klog.ErrorS(err, "Cannot start the daemon")
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -20,7 +20,10 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 const (
@@ -42,6 +45,10 @@
 	BodyTimeout        time.Duration
 	// LongestDeadline also bounds the time to write an answer.
 	LongestDeadline time.Duration
+	// Connections is the largest number of open connections.
+	Connections int
+	// Memory bounds what all requests hold, from their bodies to their answers.
+	Memory *membudget.Budget
 }
 
 // Server serves the interface over HTTP.
@@ -77,7 +84,7 @@
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(netutil.LimitListener(l, s.limits.Connections))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -100,9 +107,9 @@
 	e.GET("/v1/configuration", s.configuration)
 	e.GET("/v1/configuration/history", s.history)
 	e.GET("/v1/configuration/:number", s.configuration)
-	e.POST("/v1/configuration/patches", s.patch)
-	e.POST("/v1/query", s.query, s.limitConcurrency)
-	e.POST("/v1/execute", s.execute, s.limitConcurrency)
+	e.POST("/v1/configuration/patches", s.patch, s.holdMemory)
+	e.POST("/v1/query", s.query, s.limitConcurrency, s.holdMemory)
+	e.POST("/v1/execute", s.execute, s.limitConcurrency, s.holdMemory)
 	return e
 }
 
@@ -124,6 +131,22 @@
 	}
 }
 
+// memoryKey is the key of a request's memory in its context.
+const memoryKey = "memory"
+
+// holdMemory gives a request its part of the memory until its answer is written.
+func (s *Server) holdMemory(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		hold := s.limits.Memory.NewHold()
+		defer hold.Release()
+		c.Set(memoryKey, hold)
+		return next(c)
+	}
+}
+
+// memoryOf returns the memory that holdMemory gave to a request.
+func memoryOf(c echo.Context) *membudget.Hold { return c.Get(memoryKey).(*membudget.Hold) }
+
 // runBeforeJournal returns what is known about a request that is refused before the
 // journal is read. An earlier submission of the same key may have run, so only a query
 // or the first submission of a key is certain not to have run.
@@ -139,7 +162,7 @@
 	if err := s.decodeBody(c, &q); err != nil {
 		return err
 	}
-	q.RequestID = requestID(c)
+	q.RequestID, q.Memory = requestID(c), memoryOf(c)
 	ctx, span := s.startSpan(c, "query", q.RequestID)
 	defer span.End()
 	span.SetAttributes(attribute.String("contract", q.Contract))
@@ -247,7 +270,9 @@
 // decodeBody decodes a JSON body. It refuses unknown fields, bodies above the size limit and
 // bytes that are not UTF-8, which would not reach upstreams as sent.
 func (s *Server) decodeBody(c echo.Context, target any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, int64(s.limits.BodyBytes)))
+	limit := int64(s.limits.BodyBytes)
+	body, held, err := s.limits.Memory.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength, limit)
+	memoryOf(c).Adopt(held)
 	if err == nil && !utf8.Valid(body) {
 		err = errors.New("not UTF-8")
 	}
@@ -263,7 +288,10 @@
 	}
 	run := runBeforeJournal(c.Request())
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		return NewProblem(KindOverloaded, "no memory is left for the body").WithRetry(true, overloadRetryAfter).WithRun(run)
+	case errors.As(err, &tooLarge), errors.Is(err, membudget.ErrTooLarge):
 		return NewProblem(KindBodyTooLarge, "the body is larger than %d bytes", s.limits.BodyBytes).WithRetry(false, 0).WithRun(run)
 	}
 	return NewProblem(KindInvalidRequest, "body: %v", err).WithRetry(false, 0).WithRun(run)
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
@@ -19,6 +20,8 @@
 
 // QueryRequest asks all services that a contract names for one combined answer.
 type QueryRequest struct {
+	// Memory is what the request holds until its answer is written.
+	Memory     *membudget.Hold `json:"-"`
 	Contract   string          `json:"contract"`
 	Request    json.RawMessage `json:"request"`
 	DeadlineMS int64           `json:"deadline_ms,omitempty"` // milliseconds; 0 means the contract's answer time
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/internal/api"
 	"github.com/marigoldlever/marigoldlever/internal/lifecycle"
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/internal/settings"
 	"github.com/marigoldlever/marigoldlever/membership"
@@ -46,8 +47,6 @@
 	maintenanceInterval = time.Second
 	// statisticsAge is the time after which unused latency statistics are dropped.
 	statisticsAge = 10 * time.Minute
-	// maxServiceStatistics is the largest number of services whose latencies a stripe keeps.
-	maxServiceStatistics = 4096
 	// shutDownMargin extends the grace period by the time to write the release of
 	// the shares and the host list entry.
 	shutDownMargin = 3 * time.Second
@@ -59,6 +58,7 @@
 	incarnation string
 	registry    metrics.Registry
 	tuning      query.Tuning
+	memory      memory
 
 	platform *httpstore.Client
 	client   *upstreamhttp.Client
@@ -88,11 +88,12 @@
 // New returns a daemon that does not listen until Run is called.
 func New(s settings.Settings) (*Daemon, error) {
 	registry := metrics.NewRegistry()
+	limit := membudget.Host(s.Limits.MemoryMB)
 	client, err := httpstore.New(httpstore.Config{
 		BaseURL: "http://" + s.Platform.Address, DataCentre: s.Host.DataCentre, CallTimeout: s.Platform.Timeout,
 		Reads:   httpstore.Rate{PerSecond: float64(s.Platform.ReadsPerSecond), Burst: burstSeconds * s.Platform.ReadsPerSecond},
 		Writes:  httpstore.Rate{PerSecond: float64(s.Platform.WritesPerSecond), Burst: burstSeconds * s.Platform.WritesPerSecond},
-		Metrics: registry,
+		Metrics: registry, HostListBytes: limit.Share(membudget.ListsShare),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "platform client")
@@ -102,10 +103,11 @@
 		settings: s, registry: registry, platform: client, ctx: ctx, cancel: cancel,
 		// The prefix makes the incarnations of a host sort by start time.
 		incarnation: strconv.FormatInt(time.Now().UnixMilli(), 36) + "-" + uuid.NewString()[:8],
-		client:      upstreamhttp.New(upstreamhttp.Config{}),
-		node:        peer.NewNode(peer.Config{Advertise: s.Host.PeerAddress}),
+		node:        peer.NewNode(peer.Config{Advertise: s.Host.PeerAddress, MaxTotalBytes: int(limit.Share(membudget.PeersShare))}),
 		tuning:      tuningOf(s.Policy),
+		memory:      newMemory(limit),
 	}
+	d.client = upstreamhttp.New(upstreamhttp.Config{MaxReplyBytes: limit.Share(membudget.ReplyShare), Memory: d.memory.content})
 	if err := d.build(newTracedStore(client)); err != nil {
 		cancel()
 		return nil, err
@@ -116,6 +118,7 @@
 // build creates the components and connects them.
 func (d *Daemon) build(store objectstore.Store) error {
 	s := d.settings
+	limit := membudget.Host(s.Limits.MemoryMB)
 	self := ownership.Member{ID: s.Host.ID, Incarnation: d.incarnation, PeerAddress: s.Host.PeerAddress}
 	seed := uint64(time.Now().UnixNano())
 	drainConfig := drain.DefaultConfig()
@@ -146,6 +149,7 @@
 	onceConfig.Journals = s.Once.Journals
 	onceConfig.MaxAge = s.Once.MaximumAge
 	onceConfig.ClockError = s.Once.ClockError
+	onceConfig.MaxPendingBytes = int(limit.Share(membudget.BodiesShare))
 	dispatcher := &upstreamDispatcher{router: d.router, replicas: d.directory}
 	var err error
 	if d.journal, err = newJournalRunner(d.ctx, onceConfig, s.Host.ID, d.incarnation, store, d.node, dispatcher, seed); err != nil {
@@ -159,6 +163,7 @@
 	d.server = api.NewServer(d, api.Limits{
 		BodyBytes: s.Limits.BodyBytes, ConcurrentRequests: s.Limits.ConcurrentRequests,
 		HeaderTimeout: s.Limits.HeaderTimeout, BodyTimeout: s.Limits.BodyTimeout, LongestDeadline: s.Limits.LongestDeadline,
+		Connections: limit.Connections(), Memory: d.memory.content,
 	}, d.registry)
 	d.connect()
 	return nil
@@ -184,6 +189,7 @@
 	d.lifecycle.Release = d.release
 	d.lifecycle.Conclude = d.scatter.Conclude
 	d.router.beginWork = func(deadline time.Time) bool { return d.beginWork(drain.OwnerWork, deadline) }
+	d.router.reserve = d.memory.reserveWork
 	d.router.endWork = func() { d.endWork(drain.OwnerWork) }
 	d.journal.beginWork = func(deadline time.Time) bool { return d.beginWork(drain.RecordWork, deadline) }
 	d.journal.endWork = func() { d.endWork(drain.RecordWork) }
--- a/internal/daemon/execute.go
+++ b/internal/daemon/execute.go
@@ -73,6 +73,11 @@
 	if err := request.Decode(&item); err != nil {
 		return nil, err
 	}
+	release, ok := r.reserve(1, request.Size())
+	if !ok {
+		return nil, errNoMemory
+	}
+	defer release()
 	attempt := item.attempt(time.Now())
 	if !r.beginWork(attempt.Deadline) {
 		return nil, errLeaving
--- a/internal/daemon/journal.go
+++ b/internal/daemon/journal.go
@@ -90,7 +90,7 @@
 		switch {
 		case err == nil:
 			return r.router.Reply(s.ID, outcome)
-		case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused), isLeaving(err):
+		case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused), isDeclined(err):
 			return r.router.NotSent(now, s.ID)
 		default:
 			return r.router.NoReply(now, s.ID)
--- a/internal/daemon/maintain.go
+++ b/internal/daemon/maintain.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldlever/marigoldlever/capacity"
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/objectstore"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/query"
@@ -30,7 +31,7 @@
 		d.gateway.refresh()
 		d.sendAllLevels()
 		d.drainedProber.run(d.ctx)
-		d.scatter.Prune(time.Now().Add(-statisticsAge), maxServiceStatistics)
+		d.scatter.Prune(time.Now().Add(-statisticsAge), membudget.Host(d.settings.Limits.MemoryMB).Statistics()/maxScatterStripes)
 		select {
 		case <-d.ctx.Done():
 			return
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -45,6 +45,9 @@
 	// host accepts such work; endWork counts its end.
 	beginWork func(deadline time.Time) bool
 	endWork   func()
+	// reserve takes the memory of a number of requests for another host, of so many bytes
+	// together, until the returned function is called, and reports whether it was left.
+	reserve func(requests, bytes int) (release func(), ok bool)
 }
 
 // errNoOwner ends an attempt that no owner has accepted.
@@ -83,6 +86,7 @@
 	r := &router{
 		self: self, lookup: lookup, gateway: g, node: node, registry: registry, tracer: otel.Tracer("marigoldlever/router"),
 		beginWork: func(time.Time) bool { return true }, endWork: func() {},
+		reserve: func(int, int) (func(), bool) { return func() {}, true },
 	}
 	node.Handle(methodWorkBatch, r.handleBatch)
 	node.Handle(methodWorkDone, r.handleDone)
@@ -191,7 +195,7 @@
 // not run becomes errNotOwner, after which another owner is tried.
 func ownerError(err error) error {
 	switch {
-	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused), isLeaving(err):
+	case errors.IsAny(err, peer.ErrConnect, peer.ErrRefused), isDeclined(err):
 		return errors.Mark(errors.Wrap(err, "owner did not accept the request"), errNotOwner)
 	case errors.IsAny(err, context.DeadlineExceeded):
 		return errors.Mark(errors.Wrap(err, "owner did not answer"), upstream.ErrTimeout)
@@ -260,6 +264,11 @@
 	if err := request.Decode(&batch); err != nil {
 		return nil, err
 	}
+	release, ok := r.reserve(len(batch.Items), request.Size())
+	if !ok {
+		return nil, errNoMemory
+	}
+	defer release()
 	now := time.Now()
 	if !r.beginWork(batch.deadline(now)) {
 		return nil, errLeaving
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -19,6 +19,9 @@
 const (
 	// notReadyRetryAfter is the Retry-After time while this host has no configuration.
 	notReadyRetryAfter = time.Second
+	// noMemoryRetryAfter is the Retry-After time while the requests in progress take all of
+	// their memory.
+	noMemoryRetryAfter = 200 * time.Millisecond
 	// patchTimeout limits the processing of one patch.
 	patchTimeout = 8 * time.Second
 	// shareScale is the number of steps to which a coverage in an answer is rounded.
@@ -40,10 +43,15 @@
 	if err != nil {
 		return api.Answer{}, err
 	}
+	release, ok := d.memory.parts.Reserve(plan.Services())
+	if !ok {
+		return api.Answer{}, api.NewProblem(api.KindOverloaded, "no memory is left for the request").WithRetry(true, noMemoryRetryAfter)
+	}
+	defer release()
 	plan.AnswerTime = limit
 	plan.LatencyGoal = min(plan.LatencyGoal, limit)
 	plan.Tuning = d.tuning
-	finish, err := d.scatter.Run(ctx, d.router, plan, q.Request)
+	finish, err := d.scatter.Run(ctx, d.router, plan, q.Request, q.Memory)
 	if err != nil {
 		return api.Answer{}, api.NewProblem(api.KindDeadlineExceeded, "the caller cancelled the request: %v", err)
 	}
--- a/internal/daemon/wire.go
+++ b/internal/daemon/wire.go
@@ -32,16 +32,18 @@
 // was not sent.
 var errNotOwner = errors.New("host is not an owner of the upstream")
 
-// codeLeaving is the code of errLeaving on the wire.
-const codeLeaving = 100
+// codeDeclined is the code on the wire of a host that accepts no work from other hosts now.
+// The request did not run.
+const codeDeclined = 100
 
-// errLeaving is the answer of a host that is leaving and accepts no more work from other
-// hosts. The request did not run.
-var errLeaving = &peer.RemoteError{Code: codeLeaving, Message: "host is leaving"}
+var (
+	errLeaving  = &peer.RemoteError{Code: codeDeclined, Message: "host is leaving"}
+	errNoMemory = &peer.RemoteError{Code: codeDeclined, Message: "host has no memory left for the request"}
+)
 
-func isLeaving(err error) bool {
+func isDeclined(err error) bool {
 	var remote *peer.RemoteError
-	return errors.As(err, &remote) && remote.Code == codeLeaving
+	return errors.As(err, &remote) && remote.Code == codeDeclined
 }
 
 // workItem is one sub-request to an upstream that the receiving host owns slots of.
--- a/internal/membudget/host.go
+++ b/internal/membudget/host.go
@@ -32,7 +32,7 @@
 	// ListsShare bounds the bytes of one list that is read from the store.
 	ListsShare = 1.0 / 8
 	// RegistryShare bounds the registry of replicas.
-	RegistryShare = 1.0 / 8
+	RegistryShare = 1.0 / 16
 	// PeersShare bounds the messages between hosts that wait to be written or are incomplete.
 	PeersShare = 1.0 / 16
 )
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -96,6 +97,7 @@
 	groups   []string
 	machine  *query.Machine
 	timer    *time.Timer
+	memory   *membudget.Hold
 	ended    bool
 	finish   query.Finish
 	done     chan struct{}
@@ -119,14 +121,15 @@
 }
 
 // Run executes the plan and returns its result. If ctx ends first, it cancels the
-// attempts in flight and returns the error of ctx.
-func (e *Executor) Run(ctx context.Context, sender Sender, plan query.Plan, body json.RawMessage) (query.Finish, error) {
+// attempts in flight and returns the error of ctx. The records of replies take memory, which
+// may be nil; a reply that finds none left counts as lost.
+func (e *Executor) Run(ctx context.Context, sender Sender, plan query.Plan, body json.RawMessage, memory *membudget.Hold) (query.Finish, error) {
 	// The attempts have their own context, so that they are cancelled through
 	// Sender.Cancel before their connection's context ends.
 	attemptCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s := e.stripes[e.nextStripe.Add(1)%uint64(len(e.stripes))]
-	r := &Run{executor: e, sender: sender, stripe: s, ctx: attemptCtx, body: body, done: make(chan struct{})}
+	r := &Run{executor: e, sender: sender, stripe: s, ctx: attemptCtx, body: body, memory: memory, done: make(chan struct{})}
 	for _, g := range plan.Groups {
 		r.groups = append(r.groups, g.Name)
 	}
@@ -230,6 +233,9 @@
 
 func (r *Run) handleReply(id string, reply upstream.Reply, err error) {
 	r.step(func(now time.Time) []query.Action {
+		if err == nil && !r.memory.Take(int64(len(reply.Records))) {
+			err = errNoMemory
+		}
 		if err != nil {
 			return r.machine.Fail(now, id, failureOf(err, reply.Held))
 		}
@@ -237,6 +243,9 @@
 	})
 }
 
+// errNoMemory ends an attempt whose reply can't be kept.
+var errNoMemory = errors.Wrap(upstream.ErrReplyLost, "no memory is left for the reply")
+
 // failureOf converts the error of an attempt to a query.Failure.
 func failureOf(err error, held []uint64) query.Failure {
 	f := query.FailureOf(err, held)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -10,6 +10,10 @@
 
 // Limits of the accepted values.
 const (
+	minMemoryMB = 16
+	maxMemoryMB = 1 << 20
+	// minMemoryMBOfJournal leaves three quarters of the memory to everything but journals.
+	minMemoryMBOfJournal  = 4
 	maxBodyBytes          = 16 << 20
 	maxConcurrentRequests = 100_000
 	maxCallsPerSecond     = 2_000
@@ -67,6 +71,7 @@
 
 		optional("peers", "seeds", "", addressesKey(&s.Peers.Seeds)),
 
+		optional("limits", "memory_mb", "256", intKey(&s.Limits.MemoryMB, minMemoryMB, maxMemoryMB)),
 		optional("limits", "body_bytes", "1048576", intKey(&s.Limits.BodyBytes, 1024, maxBodyBytes)),
 		optional("limits", "concurrent_requests", "1000", intKey(&s.Limits.ConcurrentRequests, 1, maxConcurrentRequests)),
 		optional("limits", "header_timeout", "5s", durationKey(&s.Limits.HeaderTimeout, minTimeout, maxTimeout)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -48,6 +49,7 @@
 
 // Limits bound the resources that callers can make a daemon hold.
 type Limits struct {
+	MemoryMB           int
 	BodyBytes          int
 	ConcurrentRequests int
 	HeaderTimeout      time.Duration
@@ -182,6 +184,10 @@
 		problems = append(problems, Problem{name, "drain", "grace", s.Drain.Grace.String(),
 			"at least " + minimum.String() + ", the time until no work arrives plus limits.longest_deadline"})
 	}
+	if most := s.Limits.MemoryMB / minMemoryMBOfJournal; s.Once.Journals > most {
+		problems = append(problems, Problem{name, "once", "journals", strconv.Itoa(s.Once.Journals),
+			"at most " + strconv.Itoa(most) + " with limits.memory_mb = " + strconv.Itoa(s.Limits.MemoryMB) + ", as a journal can take 1 MB"})
+	}
 	if s.Membership.Period*3 > s.Ownership.Lease {
 		problems = append(problems, Problem{name, "membership", "period", s.Membership.Period.String(),
 			"at most a third of the ownership lease (" + s.Ownership.Lease.String() + "), so that proofs arrive in time"})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,3 +67,17 @@
 		t.Fatalf("got %v, want two problems", err)
 	}
 }
+
+// Guards against journals that take the memory of a host.
+func TestJournalsFitTheMemory(t *testing.T) {
+	text := func(journals string) []byte {
+		return []byte(validSettings + "[limits]\nmemory_mb = 64\n[once]\njournals = " + journals + "\n")
+	}
+	if _, err := Parse("a.ini", text("16")); err != nil {
+		t.Errorf("16 journals in 64 MB: %v", err)
+	}
+	var problems Problems
+	if _, err := Parse("a.ini", text("17")); !errors.As(err, &problems) || len(problems) != 1 || problems[0].Key != "journals" {
+		t.Errorf("17 journals in 64 MB: %v, want a problem", err)
+	}
+}
--- a/objectstore/httpstore/client.go
+++ b/objectstore/httpstore/client.go
@@ -28,13 +28,13 @@
 const HeaderDataCentre = "X-Data-Centre"
 
 const (
-	defaultCallTimeout = 2 * time.Second
-	defaultWatchWait   = 10 * time.Second
-	maxHostListBytes   = 16 << 20 // bytes; 16,000 hosts take about 3 MB
-	maxErrorBytes      = 64 << 10 // bytes; limit of a reply without a value
-	idleTimeout        = 90 * time.Second
-	maxIdleConns       = 8
-	maxHeaderBytes     = 64 << 10 // bytes; limit of the headers of a reply
+	defaultCallTimeout   = 2 * time.Second
+	defaultWatchWait     = 10 * time.Second
+	defaultHostListBytes = 16 << 20 // 16,000 hosts take about 3 MB
+	maxErrorBytes        = 64 << 10 // bytes; limit of a reply without a value
+	idleTimeout          = 90 * time.Second
+	maxIdleConns         = 8
+	maxHeaderBytes       = 64 << 10 // bytes; limit of the headers of a reply
 )
 
 // Config holds the settings of a Client.
@@ -45,6 +45,8 @@
 	Writes     Rate   // Put, Register and Deregister
 	// CallTimeout limits a call; a watch may take WatchWait longer. 0 means 2 s.
 	CallTimeout time.Duration
+	// HostListBytes limits the size of the host list. 0 means 16 MiB.
+	HostListBytes int64
 	// WatchWait is the maximum time for which the platform holds a watch. 0 means 10 s.
 	WatchWait time.Duration
 	// Now is the clock of the budgets. Nil means time.Now.
@@ -102,6 +104,9 @@
 	if cfg.CallTimeout <= 0 {
 		cfg.CallTimeout = defaultCallTimeout
 	}
+	if cfg.HostListBytes <= 0 {
+		cfg.HostListBytes = defaultHostListBytes
+	}
 	if cfg.WatchWait <= 0 {
 		cfg.WatchWait = defaultWatchWait
 	}
--- a/objectstore/httpstore/store.go
+++ b/objectstore/httpstore/store.go
@@ -103,7 +103,7 @@
 
 // Hosts implements objectstore.HostList.
 func (c *Client) Hosts(ctx context.Context) ([]objectstore.Host, error) {
-	k := call{method: http.MethodGet, path: hostsPath, timeout: c.cfg.CallTimeout, maxReply: maxHostListBytes}
+	k := call{method: http.MethodGet, path: hostsPath, timeout: c.cfg.CallTimeout, maxReply: c.cfg.HostListBytes}
 	r, err := c.do(ctx, k)
 	if err != nil {
 		return nil, err
--- a/once/config.go
+++ b/once/config.go
@@ -17,6 +17,7 @@
 	ClockError        time.Duration // largest error of any clock relative to true time
 	MaxBatch          int           // most operations in one update of a journal
 	MaxPending        int           // most unanswered submissions of this host
+	MaxPendingBytes   int           // most bytes of their bodies together
 	MaxTries          int           // most updates tried for one submission
 	MinBackoff        time.Duration // first wait after a conflict or platform error
 	MaxBackoff        time.Duration // longest wait after a conflict or platform error
@@ -47,6 +48,7 @@
 		ClockError:        10 * time.Second,
 		MaxBatch:          1000,
 		MaxPending:        4000,
+		MaxPendingBytes:   16 << 20,
 		MaxTries:          8,
 		MinBackoff:        5 * time.Millisecond,
 		MaxBackoff:        time.Second,
@@ -72,6 +74,8 @@
 		return errors.Newf("number of journals is %d, must be at least 1", c.Journals)
 	case c.MaxAge <= 0 || c.ClockError < 0:
 		return errors.New("maximum age must be positive and clock error not negative")
+	case c.MaxPendingBytes < 1:
+		return errors.New("MaxPendingBytes must be at least 1")
 	case c.MaxBatch < 1 || c.MaxPending < 1 || c.MaxTries < 1 || c.DownAfter < 1:
 		return errors.New("MaxBatch, MaxPending, MaxTries and DownAfter must be at least 1")
 	case c.MinBackoff <= 0 || c.MaxBackoff < c.MinBackoff:
--- a/once/history_test.go
+++ b/once/history_test.go
@@ -261,6 +261,7 @@
 			c.Journals = between("journals", 1, 4)
 			c.MaxBatch = between("batch", 1, 10)
 			c.MaxPending = between("pending", 1, 10)
+			c.MaxPendingBytes = between("pending bytes", 1, 200)
 			c.MaxTries = between("tries", 1, 4)
 			c.DownAfter = between("failures", 1, 4)
 			c.ClaimReserve = between("reserve", 0, 250)
--- a/once/machine.go
+++ b/once/machine.go
@@ -21,6 +21,7 @@
 	attemptsByKey map[string]*attempt // the same claims by key
 	byDeadline    deadlines           // unanswered operations, and answered ones not yet removed
 	pending       int                 // unanswered operations
+	pendingBytes  int                 // of their bodies
 	failedInARow  int                 // consecutive failed platform calls
 	downUntil     time.Time           // submissions are refused until then
 	stats         Stats
@@ -61,6 +62,7 @@
 
 func (m *Machine) accept(now time.Time, o *op) []Action {
 	m.pending++
+	m.pendingBytes += len(o.sub.Body)
 	key, err := ParseKey(o.sub.Key)
 	if err != nil {
 		return m.answer(o, Outcome{Run: RunNotRun, Reason: ReasonBadKey})
@@ -79,7 +81,7 @@
 	if now.Before(m.downUntil) {
 		return m.refuse(o, ReasonPlatformDown, m.downUntil.Sub(now))
 	}
-	if m.pending > m.cfg.MaxPending {
+	if m.pending > m.cfg.MaxPending || m.pendingBytes > m.cfg.MaxPendingBytes {
 		return m.refuse(o, ReasonBusy, m.cfg.UpdateInterval)
 	}
 	m.attemptCount++
--- a/once/op.go
+++ b/once/op.go
@@ -93,6 +93,7 @@
 	}
 	o.answered = true
 	m.pending--
+	m.pendingBytes -= len(o.sub.Body)
 	m.stats.answered(out.Run)
 	return []Action{Answer{Submission: o.sub, Outcome: out}}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -81,6 +81,9 @@
 	body json.RawMessage
 }
 
+// Size returns the size of the encoded parameters in bytes.
+func (r Request) Size() int { return len(r.body) }
+
 // Decode stores the parameters in v.
 func (r Request) Decode(v any) error {
 	if err := json.Unmarshal(r.body, v); err != nil {
--- a/query/plan.go
+++ b/query/plan.go
@@ -191,3 +191,12 @@
 		MaxRestarts:   2,
 	}
 }
+
+// Services returns the number of services that the query asks.
+func (p Plan) Services() int {
+	services := 0
+	for _, g := range p.Groups {
+		services += len(g.Services)
+	}
+	return services
+}
--- a/upstream/upstreamhttp/client.go
+++ b/upstream/upstreamhttp/client.go
@@ -13,7 +13,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -23,6 +23,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/internal/sendtrace"
 	"github.com/marigoldlever/marigoldlever/upstream"
 )
@@ -44,6 +45,9 @@
 	Connections int
 	// MaxReplyBytes limits the size of a reply. 0 means 8 MiB.
 	MaxReplyBytes int64
+	// Memory bounds the replies that are being read and decoded, in bytes together. Nil
+	// bounds only each of them.
+	Memory *membudget.Budget
 	// ReplyGrace is the time for which a reply is awaited after the deadline. 0 means
 	// 20 ms.
 	ReplyGrace time.Duration
@@ -71,6 +75,9 @@
 	if cfg.ReplyGrace <= 0 {
 		cfg.ReplyGrace = defaultReplyGrace
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = membudget.New(math.MaxInt64)
+	}
 	registry := cfg.Metrics
 	if registry == nil {
 		registry = metrics.NewRegistry()
@@ -154,6 +161,7 @@
 	if err != nil {
 		return upstream.Reply{}, exchangeError(ctx, &trace, address, err)
 	}
+	defer c.cfg.Memory.Release(resp.held)
 	reply, err := resp.workReply(r)
 	if errors.Is(err, upstream.ErrMismatch) {
 		c.mismatches.Inc(1)
@@ -169,6 +177,7 @@
 type response struct {
 	status int
 	body   []byte
+	held   int64 // of the client's memory, to be released
 }
 
 // exchange sends one request within the connection limit of the address and reads the
@@ -187,11 +196,11 @@
 	// Without GetBody net/http can't resend the request.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	return roundTrip(pooled.client, req, c.cfg.MaxReplyBytes)
+	return roundTrip(pooled.client, req, c.cfg.Memory, c.cfg.MaxReplyBytes)
 }
 
 // roundTrip sends req and reads the whole body of the response.
-func roundTrip(client *http.Client, req *http.Request, limit int64) (response, error) {
+func roundTrip(client *http.Client, req *http.Request, memory *membudget.Budget, limit int64) (response, error) {
 	resp, err := client.Do(req)
 	if err != nil {
 		return response{}, err
@@ -200,14 +209,11 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return response{}, errors.New("reply has neither a length nor chunks, so a truncation can't be detected")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, held, err := memory.ReadAll(resp.Body, resp.ContentLength, limit)
 	if err != nil {
 		return response{}, err
 	}
-	if int64(len(body)) > limit {
-		return response{}, errors.Newf("reply is larger than %d bytes", limit)
-	}
-	return response{status: resp.StatusCode, body: body}, nil
+	return response{status: resp.StatusCode, body: body, held: held}, nil
 }
 
 // exchangeError converts the error of an exchange without a complete reply.
--- a/upstream/upstreamhttp/reply.go
+++ b/upstream/upstreamhttp/reply.go
@@ -111,6 +111,7 @@
 	if err != nil {
 		return Health{}, exchangeError(ctx, &trace, address, err)
 	}
+	defer c.cfg.Memory.Release(resp.held)
 	var h Health
 	if resp.status != http.StatusOK {
 		return Health{}, failure(upstream.ErrReplyLost, address, resp.status)
