entry: probes of a data centre go to replicas that get requests

What callers saw: once a data centre counted as out of reach while its registry was full of entries that are no replicas, every request over it was refused for good (503, too few replicas are in reach), although its replicas were sound. Cause: a probe connected to a random registered replica. Entries of another writer, for services that no route names, fail each probe; with thousands of them beside 24 replicas nearly none succeeds. Fix: samples are taken of the services that routes send requests to, and of all others only if there are none. A refused connection still proves nothing: a cut may refuse. Test: entry TestProbesGoToReplicasThatGetRequests, failed before.

--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/marigoldlever/marigoldlever/replicas"
+	"github.com/marigoldlever/marigoldlever/routing"
 )
 
 // Guards against a host with little traffic that stays ready in an isolated data
@@ -69,3 +70,29 @@
 		t.Errorf("%d different replicas were tried, want %d", len(tried), reachConfig.MinSilentReplicas)
 	}
 }
+
+// Guards against a data centre that stays out of reach because the probes go to entries that
+// are no replicas, of services to which nothing is sent.
+func TestProbesGoToReplicasThatGetRequests(t *testing.T) {
+	const odd = 500
+	v := newView(1<<20, metrics.NewRegistry())
+	register := func(service, address string) {
+		v.registry.Put(time.Now(), replicas.Replica{ID: service + address, Service: service, Address: address, DataCentre: "dc"})
+	}
+	for i := range odd {
+		register("odd", fmt.Sprintf("127.0.0.1:%d", 1000+i))
+	}
+	if got := v.sampleAddresses("dc", 4); len(got) != 4 {
+		t.Errorf("without a configuration the sample is %v, want any four", got)
+	}
+	v.table.Store(routing.New(1, []routing.Route{{Name: "r", Shards: []string{"shard"}}}, nil, routing.Limits{}))
+	if got := v.sampleAddresses("dc", 4); len(got) != 4 {
+		t.Errorf("without a replica that gets requests the sample is %v, want any four", got)
+	}
+	register("shard", "10.0.0.1:80")
+	register("shard", "10.0.0.2:80")
+	got := v.sampleAddresses("dc", 4)
+	if slices.Sort(got); !slices.Equal(got, []string{"10.0.0.1:80", "10.0.0.2:80"}) {
+		t.Errorf("the sample is %v, want the two replicas that get requests", got)
+	}
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -108,11 +108,17 @@
 }
 
 // sampleAddresses returns addresses of up to n random replicas registered in a data
-// centre.
+// centre. It prefers replicas that get requests: what other writers register for services
+// that no route names may be no replica at all.
 func (v *view) sampleAddresses(dataCentre string, n int) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.registry.SampleAddresses(dataCentre, n)
+	if table := v.table.Load(); table != nil {
+		if addresses := v.registry.SampleAddresses(dataCentre, n, table.Routed); len(addresses) > 0 {
+			return addresses
+		}
+	}
+	return v.registry.SampleAddresses(dataCentre, n, func(string) bool { return true })
 }
 
 // oneSnapshot stands for the data version that replicas hold: the platform's replicas
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -297,14 +297,14 @@
 }
 
 // SampleAddresses returns the addresses of up to n random replicas registered in a data
-// centre.
-func (r *Registry) SampleAddresses(dataCentre string, n int) []string {
+// centre for the wanted services.
+func (r *Registry) SampleAddresses(dataCentre string, n int, wanted func(service string) bool) []string {
 	var addresses []string
 	for _, e := range r.entries { // the iteration order of a map is random
 		if len(addresses) == n {
 			break
 		}
-		if e.DataCentre == dataCentre && !e.lapsed && !e.Draining && !e.run.leaving {
+		if e.DataCentre == dataCentre && !e.lapsed && !e.Draining && !e.run.leaving && wanted(e.Service) {
 			addresses = append(addresses, e.Address)
 		}
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -64,17 +64,24 @@
 	Version      uint64
 	Limits       Limits
 	services     map[string]Service
+	routed       map[string]struct{} // services that routes send requests to
 	routesByHost map[string][]*Route // by lower-case host; longest prefix first
 	routes       []Route
 }
 
 // New returns the table of one version of the configuration.
 func New(version uint64, routes []Route, services []Service, limits Limits) *Table {
-	t := &Table{Version: version, Limits: limits, services: map[string]Service{}, routesByHost: map[string][]*Route{}, routes: routes}
+	t := &Table{Version: version, Limits: limits, services: map[string]Service{}, routed: map[string]struct{}{}, routesByHost: map[string][]*Route{}, routes: routes}
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
 	for i := range routes {
+		for _, s := range routes[i].Services {
+			t.routed[s.Service] = struct{}{}
+		}
+		for _, name := range routes[i].Shards {
+			t.routed[name] = struct{}{}
+		}
 		host := strings.ToLower(routes[i].Host)
 		t.routesByHost[host] = append(t.routesByHost[host], &routes[i])
 	}
@@ -104,6 +111,12 @@
 	return s, ok
 }
 
+// Routed reports whether a route sends requests to a service.
+func (t *Table) Routed(service string) bool {
+	_, ok := t.routed[service]
+	return ok
+}
+
 // Find returns the route of the host with the longest prefix that matches the path. It
 // ignores a port in host, and the case of host.
 func (t *Table) Find(host, path string) (*Route, bool) {
