--- a/records/records_test.go
+++ b/records/records_test.go
@@ -33,3 +33,22 @@
 		}
 	})
 }
+
+// Guards against memory that grows with the records of large parts instead of with those that
+// are returned: a few large replies at a time could take the memory of a host.
+func TestTopKNeedsMemoryForItsResultOnly(t *testing.T) {
+	const k, recordsOfPart, allowedBytes = 5, 1 << 16, 4 << 10
+	part := make([]byte, recordsOfPart*records.Size)
+	for i := range part {
+		part[i] = byte(i * 31 >> 3)
+	}
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			records.TopK(k, [][]byte{part, part})
+		}
+	})
+	if n := result.AllocedBytesPerOp(); n > allowedBytes {
+		t.Errorf("%d bytes for %d of %d records", n, k, 2*recordsOfPart)
+	}
+}
