--- a/internal/soak/heap_test.go
+++ b/internal/soak/heap_test.go
@@ -5,11 +5,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"regexp"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -54,26 +52,6 @@
 	return routes
 }
 
-// anonymousMB returns the memory of a process without its program file, in MB.
-func anonymousMB(t *testing.T, pid int) float64 {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(status)) {
-		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kilobytes, err := strconv.Atoi(strings.Fields(text)[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			return float64(kilobytes) / 1024
-		}
-	}
-	t.Fatal("the status of the process tells no memory")
-	return 0
-}
-
 // Guards against memory that grows with what came and went: versions of the configuration of
 // the largest size, replicas that are replaced, callers that leave.
 func TestHeapStaysLevel(t *testing.T) {
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -95,6 +96,8 @@
 	signals     signals
 	// run is called for each request that the replica runs; nil for no work.
 	run func(request *http.Request)
+	// records is the number of records of a reply.
+	records atomic.Int32
 }
 
 func startReplica(t *testing.T, service, id string, counter *runCounter, run func(*http.Request)) *replica {
@@ -105,6 +108,7 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	r := &replica{id: id, service: service, runCounter: counter, relay: startRelay(t, l.Addr().String()), run: run}
+	r.records.Store(1)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -178,7 +182,8 @@
 		status = "503 Service Unavailable"
 	}
 	head := fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s", status, id, signal)
-	text := head + fmt.Sprintf("X-Server-Stamp: %s/%s/%s\r\nContent-Length: 16\r\n\r\n%-16s", r.service, r.id, id, r.service)
+	body := strings.Repeat(fmt.Sprintf("%-16s", r.service), int(r.records.Load()))
+	text := head + fmt.Sprintf("X-Server-Stamp: %s/%s/%s\r\nContent-Length: %d\r\n\r\n%s", r.service, r.id, id, len(body), body)
 	switch mode {
 	case replyWithoutEnd:
 		return head
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -90,18 +91,33 @@
 
 // checkMemory checks that a host never took more than half of its memory.
 func (f *fleet) checkMemory(h *host) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.command.Process.Pid))
+	if most := peakMemoryMB(f.t, h.command.Process.Pid); most > hostMemoryMB/2 {
+		f.t.Errorf("MEMORY: %s took %.0f of %d MB", h.name, most, hostMemoryMB)
+	}
+}
+
+// peakMemoryMB returns the most memory that a process took, in MB.
+func peakMemoryMB(t *testing.T, pid int) float64 { return statusMB(t, pid, "VmHWM:") }
+
+// anonymousMB returns the memory of a process without its program file, in MB.
+func anonymousMB(t *testing.T, pid int) float64 { return statusMB(t, pid, "RssAnon:") }
+
+// statusMB returns a size in the status of a process, in MB.
+func statusMB(t *testing.T, pid int, field string) float64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		f.t.Error(err)
-		return
+		t.Fatal(err)
 	}
 	for line := range strings.Lines(string(status)) {
-		fields := strings.Fields(line)
-		if fields[0] != "VmHWM:" {
-			continue
-		}
-		if kilobytes, err := strconv.Atoi(fields[1]); err != nil || kilobytes > hostMemoryMB<<10/2 {
-			f.t.Errorf("MEMORY: %s took %s kB of %d MB", h.name, fields[1], hostMemoryMB)
+		if text, ok := strings.CutPrefix(line, field); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(text)[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			return float64(kilobytes) / 1024
 		}
 	}
+	t.Fatalf("the status of the process has no %s", field)
+	return 0
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -109,6 +109,7 @@
 	starts         atomic.Int64 // of host processes
 	stop           chan struct{}
 	grace          time.Duration
+	memoryMB       int                 // the memory limit of a host
 	environment    []string            // of the hosts, besides the one of the test
 	run            func(*http.Request) // of each replica; may be nil
 	faultMu        sync.Mutex
@@ -146,7 +147,7 @@
 // newFleet returns a fleet without hosts and replicas.
 func newFleet(t *testing.T, binary string, size tierSize, grace time.Duration) *fleet {
 	f := &fleet{
-		t: t, binary: binary, tierSize: size, store: newStore(), grace: grace, stop: make(chan struct{}),
+		t: t, binary: binary, tierSize: size, store: newStore(), grace: grace, memoryMB: hostMemoryMB, stop: make(chan struct{}),
 		counter: newRunCounter(),
 	}
 	server := httptest.NewServer(f.store)
@@ -209,7 +210,7 @@
 	internal := []int{freePort(f.t), freePort(f.t)}
 	slices.Sort(internal)
 	data, err := json.Marshal(map[string]any{
-		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": hostMemoryMB, "cpu_share": cores},
+		"node_name": name, "internal_ports": internal, "zone": "dc", "zones": map[string]string{"dc": "r"}, "limits": map[string]any{"memory_mb": f.memoryMB, "cpu_share": cores},
 		"listen":   map[string]string{"front": h.caller, "readiness": h.readiness},
 		"bounds":   map[string]any{"drain_ms": 3000, "contact_ms": 4000, "grace_s": f.grace.Seconds(), "config_apply_ms": 3000, "evacuation_ms": 5000, "retry_budget_ratio": 0.2, "retry_budget_slack": 50, "budget_window_s": 10, "cold_slack": 5},
 		"platform": map[string]string{"address": h.storeRelay.address()},
@@ -417,8 +418,8 @@
 	}
 }
 
-// checkAfterRun checks the guarantees that hold over the whole run.
-func (f *fleet) checkAfterRun() {
+// checkRuns checks what the replicas ran against what callers were told.
+func (f *fleet) checkRuns() {
 	time.Sleep(300 * time.Millisecond) // replicas may still be running requests
 	for _, id := range f.sentOnce {
 		if n := f.counter.runsOf(id); n > 1 {
@@ -431,6 +432,11 @@
 		}
 	}
 	f.counter.checkSpread(f.t)
+}
+
+// checkAfterRun checks the guarantees that hold over the whole run.
+func (f *fleet) checkAfterRun() {
+	f.checkRuns()
 	for _, h := range f.hosts {
 		f.checkMemory(h)
 	}
