--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -99,9 +99,11 @@
 // closePeers ends calls of other hosts that wait for changes. Those hosts then call
 // another host. It returns at the end of the planned stop at the latest.
 func closePeers(node *peer.Node, end time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(-peer.FlushTime))
-	defer cancel()
-	ctx, cancel = context.WithTimeout(ctx, peerCloseTimeout)
+	deadline := time.Now().Add(peerCloseTimeout)
+	if latest := end.Add(-peer.FlushTime); latest.Before(deadline) {
+		deadline = latest
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := node.Close(ctx); err != nil {
 		klog.V(1).InfoS("Calls of other hosts were interrupted", "err", err)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -27,6 +27,9 @@
 	return false
 }
 
+// Has reports whether bytes are left. Another user may reserve them at any time.
+func (b *Budget) Has(bytes int64) bool { return b.used.Load()+bytes <= b.size }
+
 // Release gives reserved bytes back.
 func (b *Budget) Release(bytes int64) { b.used.Add(-bytes) }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -96,11 +96,7 @@
 func (s *stream) fits(size int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.queued+size > s.queueBytes || !s.total.Reserve(int64(size)) {
-		return false
-	}
-	s.total.Release(int64(size))
-	return true
+	return s.queued+size <= s.queueBytes && s.total.Has(int64(size))
 }
 
 // WriteObject queues a message.
