--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -79,6 +79,20 @@
 	s.changed = make(chan struct{})
 }
 
+// putMany writes objects that are alike, as one change for those who watch.
+func (s *store) putMany(kind string, names []string, spec any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.revision++
+		o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: spec}
+		s.objects[kind][name] = o
+		s.history = append(s.history, event{Object: o, kind: kind, revision: s.revision})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) setMode(m storeMode) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
