accounts: keys are checked at the first host and never reach replicas

Cause: nothing knew client accounts.

Change: a configuration may list accounts. The host that the caller reached finds the account by the hash of the key, removes what the caller sent about its account and sets the account's name; unknown keys get 401. Without accounts nothing changes.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -72,7 +73,11 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
-	out.route, out.timeout = route.Name, timeout
+	account, ok := identify(table, route, &request)
+	if !ok {
+		return refusal(verdictNoAccount, 0, "the request has no key of an account")
+	}
+	out.route, out.timeout, out.account = route.Name, timeout, account
 	work := drain.Request{Work: drain.CallerWork, Deadline: out.started.Add(timeout), Repeatable: route.Idempotent}
 	if out.accepted = e.lifecycle.Begin(work); !out.accepted {
 		return refuseLeaving()
@@ -114,6 +119,26 @@
 	return &own, true
 }
 
+// identify sets the account of a request and returns it, or nil if the request needs none. It
+// returns false if the request needs the key of an account and has none.
+func identify(table *routing.Table, route *routing.Route, request *exchange.Request) (*routing.Account, bool) {
+	identity := request.Identity
+	request.Identity = exchange.Identity{}
+	if !table.HasAccounts() {
+		maps.Copy(request.Header, identity.Header)
+		return nil, true
+	}
+	if route.Public {
+		return nil, true
+	}
+	account, ok := table.AccountOfKey(identity.Key)
+	if !ok {
+		return nil, false
+	}
+	request.Account = account.Name
+	return account, true
+}
+
 // readBody reads the whole body, because it may have to be sent to several replicas.
 func (e *Entry) readBody(r *http.Request, out *outcome, limit int64) (body []byte, err error) {
 	if r.ContentLength == 0 {
--- a/internal/entry/offload_wire.go
+++ b/internal/entry/offload_wire.go
@@ -36,6 +36,8 @@
 	Host   []byte      `json:"host"`
 	Header []wireField `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
+	// Account is the name of the account that the caller's host found; empty if there is none.
+	Account []byte `json:"account,omitempty"`
 }
 
 // wireField is a header field.
@@ -45,7 +47,7 @@
 }
 
 func newWireRequest(r *exchange.Request) wireRequest {
-	w := wireRequest{ID: []byte(r.ID), Method: []byte(r.Method), Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body}
+	w := wireRequest{ID: []byte(r.ID), Method: []byte(r.Method), Target: []byte(r.Target), Host: []byte(r.Host), Body: r.Body, Account: []byte(r.Account)}
 	for name, values := range r.Header {
 		w.Header = append(w.Header, wireField{Name: []byte(name), Values: bytesOf(values)})
 	}
@@ -53,7 +55,7 @@
 }
 
 func (w wireRequest) request() exchange.Request {
-	r := exchange.Request{ID: string(w.ID), Method: string(w.Method), Target: string(w.Target), Host: string(w.Host), Header: http.Header{}, Body: w.Body}
+	r := exchange.Request{ID: string(w.ID), Method: string(w.Method), Target: string(w.Target), Host: string(w.Host), Header: http.Header{}, Body: w.Body, Account: string(w.Account)}
 	for _, f := range w.Header {
 		r.Header[string(f.Name)] = stringsOf(f.Values)
 	}
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/marigoldlever/marigoldlever/query"
+	"github.com/marigoldlever/marigoldlever/routing"
 )
 
 // outcome is the result of a request, for the log.
@@ -33,7 +34,8 @@
 	bodyHeld      int64         // memory of the body
 	accepted      bool          // counts as in progress
 	verdict       string
-	latencyGoal   time.Duration // counted from started
+	latencyGoal   time.Duration    // counted from started
+	account       *routing.Account // nil if the request needs none
 }
 
 // close releases what the answer needed. It must be called after the answer was written.
@@ -63,6 +65,9 @@
 		"parts", o.parts, "missing", o.missing, "hedges", o.counts.Hedges, "retries", o.counts.Retries, "unpaid", o.counts.BudgetExhausted,
 		"redirected", o.counts.Redirected, "reason", o.reason,
 	}
+	if o.account != nil {
+		fields = append(fields, "account", o.account.Name)
+	}
 	if o.forwardedTo != "" {
 		fields = append(fields, "by", o.forwardedTo, "declined", o.declineReason)
 	}
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -92,6 +92,7 @@
 var (
 	verdictMalformed = &verdict{"malformed", http.StatusBadRequest, "a request that can't be read is the caller's fault"}
 	verdictNoRoute   = &verdict{"no_route", http.StatusNotFound, "no version of the configuration in force has a route"}
+	verdictNoAccount = &verdict{"no_account", http.StatusUnauthorized, "no account of the version in force has the caller's key"}
 	verdictHeader    = &verdict{"header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the header exceeds the limit of the configuration"}
 	verdictTooLarge  = &verdict{"too_large", http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration"}
 	verdictNotReady  = &verdict{"not_ready", http.StatusServiceUnavailable, "a host that knows no configuration has sent nothing"}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -39,6 +39,10 @@
 	MaxRecords int
 	// Regions are the regions that may run the request; empty allows all.
 	Regions []string
+	// Priority is the rank of the route's requests; 0 is the highest.
+	Priority int
+	// Public requests need no key of an account.
+	Public bool
 }
 
 // Service is the operator's configuration of a service.
@@ -67,6 +71,8 @@
 	routed       map[string]struct{} // services that routes send requests to
 	routesByHost map[string][]*Route // by lower-case host; longest prefix first
 	routes       []Route
+	accounts     map[string]*Account // by name; nil if the configuration has none
+	accountByKey map[keyDigest]*Account
 }
 
 // New returns the table of one version of the configuration.
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -24,6 +24,19 @@
 	Host   string
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
+	// Identity is what the caller sent about its account. Only requests that need no account
+	// pass it on.
+	Identity Identity
+	// Account is the name of the account that the request counts for; empty if there is none.
+	Account string
+}
+
+// Identity is what a caller sent about its account.
+type Identity struct {
+	// Key is the API key; empty if there is none, or more than one.
+	Key string
+	// Header holds the header fields in which callers identify themselves, or pretend to.
+	Header http.Header
 }
 
 // Reply is a replica's complete answer.
