admission: refusals go by priority, and to accounts beyond their share first

Cause: a route's priority was read nowhere; in an overload a share of all requests was refused alike, whoever sent them.

Change: admission.Demand divides the share to refuse. Refused callers return spread over time, those with a higher priority first. Large requests that were given to a stronger host are ranked there by the account that travels with them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -165,5 +165,5 @@
 func (e *Entry) housekeep(now time.Time) {
 	e.pool.RetainOnly(e.view.expire(now))
 	e.scatter.Prune(now.Add(-maxStatisticsAge), e.settings.memoryLimit().Statistics())
-	e.overload.prune(now.Add(-maxStatisticsAge))
+	e.overload.prune(now, now.Add(-maxStatisticsAge))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -168,8 +168,8 @@
 // the request's start.
 func (e *Entry) dispatch(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, latencyGoal time.Duration) answer {
 	names := servicesOf(route)
-	if e.overload.refuses(out.started, route, names) {
-		return out.refuseUnsent(route, refusedRetryAfter(route), "the replicas are overloaded")
+	if r := rankOf(route, out.account); e.overload.refuses(out.started, route, names, r) {
+		return out.refuseUnsent(route, overloadRetryAfter(route, r), "the replicas are overloaded")
 	}
 	available := e.availability(time.Now(), route, names)
 	if resumes := available.resumesIn(); resumes > 0 {
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -60,8 +60,9 @@
 	if !ok || len(route.Shards) == 0 {
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
-	if e.overload.refuses(started, route, route.Shards) {
-		return gatherReply{Failure: "the replicas are overloaded"}, nil
+	account, _ := table.Account(request.Account)
+	if r := rankOf(route, account); e.overload.refuses(started, route, route.Shards, r) {
+		return gatherReply{Failure: "the replicas are overloaded", RetryAfterUS: overloadRetryAfter(route, r).Microseconds()}, nil
 	}
 	available := e.availability(started, route, route.Shards)
 	if resumes := available.resumesIn(); resumes > 0 {
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,18 +20,45 @@
 // a target latency is not at risk if it is ten times the usual time.
 var admissionConfig = admission.Config{Waiting: 1, ProportionalGain: 0.2, IntegralGain: 3, MaxShare: 0.8, MaxReportAge: 500 * time.Millisecond, TargetFraction: 0.1}
 
-// overload guards an admission.Controller that all requests of this host share.
+// overload guards an admission.Controller that all requests of this host share, and the demand
+// that its refusals are divided among.
 type overload struct {
-	refused metrics.Counter
+	registry metrics.Registry
+	refused  metrics.Counter
 
 	mu         sync.Mutex
 	controller *admission.Controller
+	// demand holds the recent requests by pool: the services that they need, named by the
+	// first in order.
+	demand map[string]*admission.Demand
+}
+
+// rank is what decides which requests are refused first in an overload.
+type rank struct {
+	class admission.Class
+	// weight is the account's part in a fair division.
+	weight float64
+}
+
+// rankOf returns the rank of a request of an account on a route. The account may be nil.
+// Accounts share in proportion to their quotas.
+func rankOf(route *routing.Route, account *routing.Account) rank {
+	r := rank{class: admission.Class{Priority: route.PriorityOf(account)}, weight: 1}
+	if account != nil {
+		r.class.Account = account.Name
+		if account.RequestsPerSecond > 0 {
+			r.weight = account.RequestsPerSecond
+		}
+	}
+	return r
 }
 
 func newOverload(registry metrics.Registry) *overload {
 	return &overload{
+		registry:   registry,
 		refused:    metrics.GetOrRegisterCounter("requests.overload", registry),
 		controller: admission.New(admissionConfig),
+		demand:     make(map[string]*admission.Demand),
 	}
 }
 
@@ -44,25 +73,71 @@
 	}
 }
 
-// refuses decides at random whether a request to these services is refused, with the
-// controller's refusal share as the probability.
-func (o *overload) refuses(now time.Time, route *routing.Route, services []string) bool {
+// refuses decides at random whether a request to these services is refused. The controller
+// says which share of all requests must be, and the demand which share of those with this rank.
+func (o *overload) refuses(now time.Time, route *routing.Route, services []string, r rank) bool {
 	target := route.TargetLatency
 	if target <= 0 {
 		target = route.Timeout
 	}
 	o.mu.Lock()
 	share := o.controller.RefusalShare(now, services, target)
+	demand := o.demandFor(services)
+	demand.Record(now, r.class, r.weight)
+	if share > 0 {
+		share = demand.RefusalShare(now, r.class, share)
+	}
 	o.mu.Unlock()
 	if share == 0 || rand.Float64() >= share {
 		return false
 	}
 	o.refused.Inc(1)
+	metrics.GetOrRegisterCounter(fmt.Sprint("requests.overload.priority_", min(r.class.Priority, maxCountedPriority)), o.registry).Inc(1)
 	return true
 }
 
-func (o *overload) prune(since time.Time) {
+// maxCountedPriority bounds the number of counters of refusals by priority.
+const maxCountedPriority = 9
+
+// demandFor returns the demand for a set of services. The caller holds mu.
+func (o *overload) demandFor(services []string) *admission.Demand {
+	pool := ""
+	if len(services) > 0 {
+		pool = slices.Min(services)
+	}
+	d := o.demand[pool]
+	if d == nil {
+		d = admission.NewDemand()
+		o.demand[pool] = d
+	}
+	return d
+}
+
+// prune forgets reports received before the given time, and classes without recent requests.
+func (o *overload) prune(now, since time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.controller.Prune(since)
+	for pool, d := range o.demand {
+		if d.Prune(now); d.Empty() {
+			delete(o.demand, pool)
+		}
+	}
 }
+
+// overloadRetryAfter returns when a caller should repeat a request that was refused in an
+// overload. Callers return spread over time, those with a higher priority first.
+func overloadRetryAfter(route *routing.Route, r rank) time.Duration {
+	usual := float64(refusedRetryAfter(route))
+	later := min(float64(r.class.Priority), maxRetryRanks)
+	return time.Duration(usual * (1 + retryRankStep*later + retrySpread*(rand.Float64()-0.5)))
+}
+
+const (
+	// retryRankStep is by how much later than the usual time each lower priority returns, and
+	// retrySpread the span over which callers with one priority do, as shares of the usual
+	// time. maxRetryRanks bounds the first, as callers wait for a part of their deadline only.
+	retryRankStep = 0.25
+	retrySpread   = 0.5
+	maxRetryRanks = 4
+)
