offload: another version with the same route is accepted, and a second stronger host asked

Cause: a stronger host refused requests of hosts that had another version of the configuration, also if the route was the same in both, and a host did a refused request itself, with its small part of the retry budget.

Change: the request carries a fingerprint of its route. A refused request is offered to a second stronger host before this one does it.

--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -52,11 +52,14 @@
 	}
 	e := o.entry
 	table := e.view.table.Load()
-	if table == nil || !e.view.complete(started) || table.Version != call.Version {
-		return gatherReply{Refused: "another configuration is in force"}, nil
+	if table == nil || !e.view.complete(started) {
+		return gatherReply{Refused: "this host has no configuration yet"}, nil
 	}
 	request := call.Request.request()
 	route, ok := findRoute(table, &request)
+	if ok && table.Version != call.Version && (call.Route == 0 || call.Route != route.Fingerprint()) {
+		return gatherReply{Refused: "another configuration is in force"}, nil
+	}
 	if !ok || len(route.Shards) == 0 {
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
--- a/internal/entry/offload_send.go
+++ b/internal/entry/offload_send.go
@@ -14,20 +14,38 @@
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
+// maxForwards bounds the stronger hosts that a request is offered to. One that has just begun
+// to leave, or is busy, refuses at once, and this host has little budget for retries of parts.
+const maxForwards = 2
+
 // forward sends a request to a stronger host and returns its result. It returns false if
 // this host must handle the request itself. The latency goal counts from the request's start.
 func (o *offloader) forward(ctx context.Context, out *outcome, route *routing.Route, request *exchange.Request, latencyGoal time.Duration) (answer, bool) {
-	host, ok := o.next(out.started, route)
-	if !ok {
-		return answer{}, false
+	for range maxForwards {
+		host, ok := o.next(time.Now(), route)
+		if !ok {
+			break
+		}
+		if a, ok := o.forwardTo(ctx, host, out, route, request, latencyGoal); ok {
+			return a, true
+		}
+		if out.tries > 0 {
+			break // that host has sent parts, which another one would not know
+		}
 	}
+	return answer{}, false
+}
+
+// forwardTo sends a request to one stronger host. It returns false if that host did not take
+// it.
+func (o *offloader) forwardTo(ctx context.Context, host watchers.Host, out *outcome, route *routing.Route, request *exchange.Request, latencyGoal time.Duration) (answer, bool) {
 	out.forwardedTo = host.ID
 	started := time.Now()
 	elapsed := started.Sub(out.started)
 	overhead := time.Duration(o.overheads.expected(host.ID, float64(initialOverhead)))
 	latencyGoal -= o.entry.answers.transmissionTime(route.Name)
 	reply, err := o.call(ctx, host, out.timeout-elapsed, gatherRequest{
-		Request: newWireRequest(request), Version: out.version, TimeoutUS: (out.timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
+		Request: newWireRequest(request), Version: out.version, Route: route.Fingerprint(), TimeoutUS: (out.timeout - elapsed - overhead).Microseconds(), LatencyGoalUS: (latencyGoal - elapsed - overhead).Microseconds(),
 	})
 	out.latencyGoal = latencyGoal
 	unsent := errors.IsAny(err, peer.ErrConnect, peer.ErrRefused)
--- a/internal/entry/offload_wire.go
+++ b/internal/entry/offload_wire.go
@@ -19,8 +19,10 @@
 type gatherRequest struct {
 	Request wireRequest `json:"request"`
 	// Version is that of the sender's configuration. Another version may name other
-	// parts.
+	// parts, unless its route has the same fingerprint.
 	Version uint64 `json:"version"`
+	// Route is the fingerprint of the route; 0 if it is not known.
+	Route uint64 `json:"route,omitempty"`
 	// TimeoutUS and LatencyGoalUS are the remaining times, in microseconds, to answer
 	// at all and to answer within the target latency.
 	TimeoutUS     int64 `json:"wait_us"`
--- a/routing/accounts_test.go
+++ b/routing/accounts_test.go
@@ -55,3 +55,21 @@
 		})
 	}
 }
+
+// Guards against routes of two versions that count as alike although requests are handled
+// differently.
+func TestFingerprintTellsRoutesApart(t *testing.T) {
+	route := Route{Name: "r", Shards: []string{"a", "b"}, Timeout: 5, Priority: 1}
+	same := Route{Name: "r", Shards: []string{"a", "b"}, Timeout: 5, Priority: 1}
+	if route.Fingerprint() != same.Fingerprint() {
+		t.Error("equal routes have different fingerprints")
+	}
+	for i, other := range []Route{
+		{Name: "r", Shards: []string{"a", "c"}, Timeout: 5, Priority: 1}, {Name: "r", Shards: []string{"a", "b"}, Timeout: 6, Priority: 1},
+		{Name: "r", Shards: []string{"a", "b"}, Timeout: 5}, {Name: "r", Shards: []string{"a", "b"}, Timeout: 5, Priority: 1, Regions: []string{"x"}},
+	} {
+		if route.Fingerprint() == other.Fingerprint() {
+			t.Errorf("route %d has the same fingerprint", i)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -2,10 +2,13 @@
 package routing
 
 import (
+	"encoding/json"
 	"iter"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // WeightedService is a service with its weight in a route.
@@ -137,6 +140,16 @@
 	return nil, false
 }
 
+// Fingerprint returns a hash of all that the route says. Versions of the configuration whose
+// routes have the same fingerprint handle a request alike.
+func (r *Route) Fingerprint() uint64 {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return 0 // a weight that is not a number; such a route is like no other
+	}
+	return xxhash.Sum64(text)
+}
+
 // Pick returns the service of the route at a fraction from 0 to below 1 of the total
 // weight. Uniformly distributed fractions pick each service in proportion to its weight.
 func (r *Route) Pick(fraction float64) string {
