entry: requests beyond the host's share of cold replicas are refused before they are sent

Cause: a host that has just started takes the cold times in the registry from its own start, and holds only its share of a cold replica's request rate.

Change: a cold replica whose share is used up counts as paused when the candidates are chosen. Too few others: 503 at once with the time until the share allows the next request; a stronger host hands the request back, since the caller's host may have a share left.

--- a/capacity/cold.go
+++ b/capacity/cold.go
@@ -26,22 +26,37 @@
 // is the number of requests per window that this host may send; a share below 1
 // allows one request per 1/share windows.
 func (c *ColdRateLimiter[K]) Allow(now time.Time, upstream K, share float64) bool {
-	if share <= 0 {
+	if c.Wait(now, upstream, share) > 0 {
 		return false
 	}
+	c.sent[upstream] = append(c.sent[upstream], now)
+	return true
+}
+
+// Wait returns the time until a request may be sent; 0 if it may be now.
+func (c *ColdRateLimiter[K]) Wait(now time.Time, upstream K, share float64) time.Duration {
+	if share <= 0 {
+		return maxColdWait
+	}
 	window, maxRequests := coldWindow, int(share)
 	if maxRequests < 1 {
 		window, maxRequests = time.Duration(float64(coldWindow)/share), 1
 	}
 	sent := slices.DeleteFunc(c.sent[upstream], func(at time.Time) bool { return now.Sub(at) >= window })
-	if len(sent) >= maxRequests {
+	if len(sent) > 0 {
 		c.sent[upstream] = sent
-		return false
+	} else {
+		delete(c.sent, upstream)
 	}
-	c.sent[upstream] = append(sent, now)
-	return true
+	if len(sent) < maxRequests {
+		return 0
+	}
+	return min(window-now.Sub(sent[len(sent)-maxRequests]), maxColdWait)
 }
 
+// maxColdWait bounds the wait for an upstream to which this host may send next to nothing.
+const maxColdWait = time.Minute
+
 // RetainOnly discards the state of upstreams that are not in the set.
 func (c *ColdRateLimiter[K]) RetainOnly(upstreams map[K]bool) {
 	for k := range c.sent {
--- a/capacity/cold_test.go
+++ b/capacity/cold_test.go
@@ -47,3 +47,20 @@
 		t.Error("a request was allowed with a share of 0")
 	}
 }
+
+// Guards against a wait that ends before a request may be sent, or that never ends.
+func TestWaitEndsWhenRequestIsAllowed(t *testing.T) {
+	for _, share := range []float64{0.25, 1, 3.5} {
+		c := capacity.NewColdRateLimiter[string]()
+		now := time.Unix(1000, 0)
+		for range 20 {
+			wait := c.Wait(now, "u", share)
+			if wait > 0 && c.Allow(now.Add(wait-time.Millisecond), "u", share) {
+				t.Fatalf("share %v: a request is allowed before the end of the wait of %v", share, wait)
+			}
+			if now = now.Add(wait); !c.Allow(now, "u", share) {
+				t.Fatalf("share %v: no request is allowed after the wait of %v", share, wait)
+			}
+		}
+	}
+}
--- a/internal/entry/availability.go
+++ b/internal/entry/availability.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,15 +18,15 @@
 	reachable      int // services with a usable replica in a reachable data centre
 	withConnection int // services with a usable replica to which a connection is free or may be opened, or with no replica at all
 	// pauses has an element for each service whose usable replicas all want no requests
-	// for a while: the time until the first of them may get one. Such services count as
-	// having no replica.
-	pauses []time.Duration
+	// from this host for a while: the time until the first of them may get one. Such
+	// services count as having no replica.
+	pauses []pause
 }
 
 // availability returns the services of a request to a route, and which of them can
 // answer.
 func (e *Entry) availability(now time.Time, route *routing.Route, names []string) availability {
-	services, runs, pauses := e.view.services(now, names, e.partitions.equal(len(names)), e.allowedIn(route))
+	services, runs, pauses := e.view.services(now, names, e.partitions.equal(len(names)), e.allowedIn(route), e.coldShare)
 	a := availability{services: services, required: 1, pauses: pauses}
 	if len(route.Shards) > 0 {
 		a.required = minParts(route.MinimumShare, len(names))
@@ -72,5 +73,12 @@
 	if lacking <= 0 || lacking > len(a.pauses) {
 		return 0
 	}
-	return slices.Sorted(slices.Values(a.pauses))[lacking-1]
+	byTime := func(a, b pause) int { return cmp.Compare(a.remaining, b.remaining) }
+	return slices.SortedFunc(slices.Values(a.pauses), byTime)[lacking-1].remaining
+}
+
+// lacksColdShare reports whether another host might have the share of a cold replica's request
+// rate that this host lacks for some service.
+func (a *availability) lacksColdShare() bool {
+	return slices.ContainsFunc(a.pauses, func(p pause) bool { return p.cold })
 }
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -69,6 +69,9 @@
 	}
 	available := e.availability(started, route, route.Shards)
 	if resumes := available.resumesIn(); resumes > 0 {
+		if available.lacksColdShare() {
+			return gatherReply{Refused: pausedRefusal}, nil
+		}
 		return gatherReply{Failure: pausedRefusal, RetryAfterUS: resumes.Microseconds()}, nil
 	}
 	if !available.enoughReachable() {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -75,38 +75,51 @@
 // services returns the query services with their usable replicas in allowed data
 // centres, and the incarnations of these replicas. The hash space is divided equally
 // among the names, so that each counts the same towards coverage. For each service whose
-// usable replicas are all paused, it also returns the time until the first may be used.
-func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed func(dataCentre string) bool) ([]query.Service, []replicas.Incarnation, []time.Duration) {
+// usable replicas are all paused, or cold with this host's share of their request rate used
+// up, it also returns the time until the first may be used.
+func (v *view) services(now time.Time, names []string, partitions []query.Service, allowed func(dataCentre string) bool, coldShare func(service string) float64) ([]query.Service, []replicas.Incarnation, []pause) {
 	result := make([]query.Service, len(names))
 	copy(result, partitions)
 	replicaBuffer := make([]query.Replica, 0, 2*len(names))
 	runs := make([]replicas.Incarnation, 0, 2*len(names))
 	var usable []replicas.Candidate
-	var pauses []time.Duration
+	var pauses []pause
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for i, name := range names {
 		result[i].Name = name
 		usable = v.registry.Usable(now, name, usable[:0])
-		from, pause := len(replicaBuffer), time.Duration(0)
+		from, first := len(replicaBuffer), pause{}
 		for _, c := range usable {
+			wait := pause{remaining: c.Pause}
+			if c.ColdNow && c.Pause == 0 {
+				wait = pause{v.cold.Wait(now, c.Incarnation(), coldShare(c.Service)), true}
+			}
 			switch {
 			case !allowed(c.DataCentre):
-			case c.Pause == 0:
+			case wait.remaining == 0:
 				replicaBuffer = append(replicaBuffer, query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed})
 				runs = append(runs, c.Incarnation())
-			case pause == 0 || c.Pause < pause:
-				pause = c.Pause
+			case first.remaining == 0 || wait.remaining < first.remaining:
+				first = wait
 			}
 		}
-		if pause > 0 && len(replicaBuffer) == from {
-			pauses = append(pauses, pause)
+		if first.remaining > 0 && len(replicaBuffer) == from {
+			pauses = append(pauses, first)
 		}
 		result[i].Replicas = replicaBuffer[from:len(replicaBuffer):len(replicaBuffer)]
 	}
 	return result, runs, pauses
 }
 
+// pause is the time until a replica may get a request from this host.
+type pause struct {
+	remaining time.Duration
+	// cold is set if the replica did not ask for the pause: this host's share of the request
+	// rate of the cold replica is used up.
+	cold bool
+}
+
 // sampleAddresses returns addresses of up to n random replicas registered in a data
 // centre. It prefers replicas that get requests: what other writers register for services
 // that no route names may be no replica at all.
