entry: the latency goal reserves the time that a small host takes to accept a request

A request waits for the processor before its clock starts: on a host with 0.19 cores about 3 ms passed between the arrival and the handler, besides the time to accept the connection.

Change: the goal keeps 1.2 ms of processor time for this, divided by the host's share of a core.

--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -21,6 +21,10 @@
 	// between the latency goal and the last byte of an answer, for the time that a
 	// request waits in the socket buffer before it is read.
 	answerMargin = 2 * time.Millisecond
+	// acceptTime is the processor time that accepting a connection and reading a request
+	// takes before the request's clock starts, on a whole core. A host with a part of a
+	// core takes so many times as long.
+	acceptTime = 1200 * time.Microsecond
 	// finishShare of the timeout is reserved at its end for writing the answer, within
 	// minFinishMargin and maxFinishMargin.
 	finishShare     = 0.02
@@ -95,7 +99,15 @@
 	if !known {
 		network = time.Duration(networkMarginShare * float64(target))
 	}
-	return target - network - answerMargin
+	return target - network - answerMargin - e.acceptDelay()
+}
+
+// acceptDelay returns how long a request has waited on this host before its clock starts.
+func (e *Entry) acceptDelay() time.Duration {
+	if cores := e.settings.Cores; cores > 0 {
+		return time.Duration(float64(acceptTime) / cores)
+	}
+	return 0
 }
 
 // minParts returns the smallest number of parts that is at least the share of n,
