explain: a command that tells where a request would go now, and why, without sending it

Cause: to learn why a request was refused, or sent to another replica than expected, an operator had to compare the logs of several hosts with the store.

Change: marigoldlever explain asks an entry host at its metrics address. The host takes its decisions without their effects and names the route, account, priority, probability of a refusal, stronger hosts and, for each replica, what speaks against it.

Measured: TestExplanationMatchesTheHost, TestExplain.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -64,6 +64,7 @@
 	return []command{
 		queryCommand(), executeCommand(), getCommand(), patchCommand(), dataCentreCommand(),
 		statusCommand(), contractCommand(), tryCommand(), loadCommand(), measureCommand(),
+		explainCommand(),
 	}
 }
 
--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/marigoldlever/marigoldlever/internal/explain"
 	"github.com/marigoldlever/marigoldlever/offload"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/routing"
@@ -185,3 +186,17 @@
 		}
 	}
 }
+
+// explain returns the hosts that requests of a route are forwarded to.
+func (o *offloader) explain(route *routing.Route) []explain.StrongerHost {
+	if o == nil || !offloadable(route) {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var hosts []explain.StrongerHost
+	for _, h := range o.chooser.States() {
+		hosts = append(hosts, explain.StrongerHost{ID: h.ID, Alive: h.Alive, InFlight: h.InFlight})
+	}
+	return hosts
+}
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -76,18 +76,10 @@
 // refuses decides at random whether a request to these services is refused. The controller
 // says which share of all requests must be, and the demand which share of those with this rank.
 func (o *overload) refuses(now time.Time, route *routing.Route, services []string, r rank) bool {
-	target := route.TargetLatency
-	if target <= 0 {
-		target = route.Timeout
-	}
 	o.mu.Lock()
-	share := o.controller.RefusalShare(now, services, target)
-	demand := o.demandFor(services)
-	demand.Record(now, r.class, r.weight)
-	if share > 0 {
-		share = demand.RefusalShare(now, r.class, share)
-	}
+	o.demandFor(services).Record(now, r.class, r.weight)
 	o.mu.Unlock()
+	share := o.refusalShare(now, route, services, r)
 	if share == 0 || rand.Float64() >= share {
 		return false
 	}
@@ -96,6 +88,21 @@
 	return true
 }
 
+// refusalShare returns the probability with which a request to these services is refused.
+func (o *overload) refusalShare(now time.Time, route *routing.Route, services []string, r rank) float64 {
+	target := route.TargetLatency
+	if target <= 0 {
+		target = route.Timeout
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	share := o.controller.RefusalShare(now, services, target)
+	if share == 0 {
+		return 0
+	}
+	return o.demandFor(services).RefusalShare(now, r.class, share)
+}
+
 // maxCountedPriority bounds the number of counters of refusals by priority.
 const maxCountedPriority = 9
 
--- a/internal/entry/pages.go
+++ b/internal/entry/pages.go
@@ -8,9 +8,11 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/internal/explain"
 )
 
-// pages serves the readiness and metrics endpoints.
+// pages serves the readiness and metrics endpoints, and explanations for operators.
 func (e *Entry) pages() http.Handler {
 	pages := echo.New()
 	pages.GET("/ready", func(c echo.Context) error {
@@ -26,6 +28,7 @@
 		metrics.WriteOnce(e.metrics.registry, c.Response())
 		return nil
 	})
+	pages.POST(explain.Path, e.explainPage)
 	return pages
 }
 
--- a/offload/offload.go
+++ b/offload/offload.go
@@ -129,6 +129,22 @@
 	return n
 }
 
+// HostState is what is known of a stronger host.
+type HostState struct {
+	ID       string
+	Alive    bool
+	InFlight int // requests of this host in flight there
+}
+
+// States returns the state of each stronger host.
+func (c *Chooser) States() []HostState {
+	states := make([]HostState, len(c.stronger))
+	for i, k := range c.stronger {
+		states[i] = HostState{ID: k.ID, Alive: k.alive(), InFlight: k.inFlight}
+	}
+	return states
+}
+
 func (k *candidate) alive() bool { return k.responded && k.missed == 0 }
 
 func (c *Chooser) find(id string) *candidate {
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -72,7 +72,7 @@
 
 // usable reports whether the replica may get new work, apart from a pause.
 func (e *entry) usable(out map[string]bool) bool {
-	return !e.Draining && !e.run.moved && !e.run.leaving && !out[e.DataCentre]
+	return e.excluded(out) == ""
 }
 
 func (e *entry) candidate(now time.Time) Candidate {
