store eras: a store that returns from a copy is followed

A store that is restored from a copy gives out revisions again. Hosts went on watching from a revision of before: changes below it were never seen, and a watcher passed the wrong history on to the hosts behind it.

platform reads the header Store-Era from each answer. Position (era, revision) replaces the revision in follow and watchers and in the messages between hosts; a message without an era is of era 0. A new era ends pending watches and makes the next call a list, spread over 1 s. Watchers pass the difference on; hosts behind them wait up to 2 s for it. Answers of an earlier era are rejected and count neither as answers nor as outage.

Replicas that the first list lacks are kept for 5 s, draining runs stay out of use, runs that had gone get no work for 10 s unless they write again, data centres that were out stay out for 15 s, and each host registers again within 2 s. Store.Era and Store.OnEra tell others.

Tests: follow, watchers, replicas with -race green, 5000 checks of TestCopiesEqualTheStoreAfterAnyEras passed; each of four mutations of watchers/list.go fails it. platform: all green but TestWatchDistinguishesFailures, which fails in 3 of 6 runs with -race at a load average of 29, as it does without this change (3 of 6).

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -65,6 +65,7 @@
 	store.LimitLists(s.ListBytes())
 	node := peer.NewNode(peer.Config{Advertise: s.PeerAddress, MaxTotalBytes: s.PeerBytes()})
 	group := watchers.New(s.WatcherConfig(platform.WatchSlack), s.Self(), node)
+	group.OnEra(store.ObserveEra)
 	newSource := func(list string, objects watchers.StoreList) follow.Source[json.RawMessage] {
 		return group.Source(list, objects)
 	}
@@ -82,7 +83,7 @@
 	go watchSettings(path, loaded, e, signals.Caught(), stop)
 	cutOff, end, err := e.Run(context.Background(), stop, entry.Sources{
 		Configuration: store.Configuration(newSource, logSkipped), Replicas: store.Replicas(newSource, logSkipped),
-		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Hosts: store, OnHosts: group.SetHosts,
+		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Hosts: store, OnHosts: group.SetHosts, OnEra: store.OnEra,
 	})
 	if err != nil {
 		klog.ErrorS(err, "Cannot run the entry host")
--- a/follow/decode.go
+++ b/follow/decode.go
@@ -21,13 +21,13 @@
 }
 
 // Watch implements Source.
-func (d Decoded[T]) Watch(ctx context.Context, from uint64) (Response[T], error) {
+func (d Decoded[T]) Watch(ctx context.Context, from Position) (Response[T], error) {
 	response, err := d.Source.Watch(ctx, from)
 	return d.response(response), err
 }
 
 func (d Decoded[T]) response(a Response[json.RawMessage]) Response[T] {
-	decoded := Response[T]{Revision: a.Revision, Pause: a.Pause}
+	decoded := Response[T]{Revision: a.Revision, Era: a.Era, Pause: a.Pause}
 	for _, raw := range a.Items {
 		item := Item[T]{Name: raw.Name, Revision: raw.Revision, Removed: raw.Removed}
 		if !raw.Removed {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,8 +45,9 @@
 	return gcPercent
 }
 
-// followConfig sets the backoff after failed calls to the store.
-var followConfig = follow.Config{InitialBackoff: 50 * time.Millisecond, MaxBackoff: 800 * time.Millisecond}
+// followConfig sets the backoff after failed calls to the store, and the time over which hosts
+// without a watcher list again when the store begins a new era.
+var followConfig = follow.Config{InitialBackoff: 50 * time.Millisecond, MaxBackoff: 800 * time.Millisecond, EraSpread: time.Second}
 
 // Sources are the lists in the store that an entry follows.
 type Sources struct {
@@ -54,6 +55,9 @@
 	Replicas       follow.Source[replicas.Replica]
 	DataCentresOut follow.Source[struct{}]
 	Hosts          Hosts
+	// OnEra adds an observer of new eras of the store, which is restored from a copy then; nil
+	// if it never is.
+	OnEra func(observer func(era uint64))
 	// OnHosts is called with each list of hosts that was read.
 	OnHosts func([]watchers.Host)
 }
@@ -74,6 +78,7 @@
 	requestLog requestLog
 	answers    *answerTimes
 	shares     *shares
+	eras       *eraSignal
 	overload   *overload
 	memory     memory
 	offload    *offloader // nil if this host does all requests itself
@@ -84,7 +89,7 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(s.memoryLimit().Share(membudget.RegistryShare), registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s.memoryLimit())}
+	e := &Entry{settings: s, callers: codec, view: newView(s.memoryLimit().Share(membudget.RegistryShare), registry), shares: newShares(), eras: newEraSignal(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s.memoryLimit())}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
 	e.pool.LimitMemory(s.memoryLimit().Share(membudget.ReplyShare), s.memoryLimit().Share(membudget.RepliesShare))
@@ -128,6 +133,9 @@
 		servers.callers.setLimits(t.Limits)
 		e.lifecycle.SetConfiguration(false)
 	}
+	if sources.OnEra != nil {
+		sources.OnEra(func(uint64) { e.eras.notify() })
+	}
 	var group sync.WaitGroup
 	joined := make(chan struct{})
 	group.Go(func() { e.trackHosts(ctx, sources.Hosts, sources.OnHosts, sync.OnceFunc(func() { close(joined) })) })
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -384,7 +384,7 @@
 	return l.first, nil
 }
 
-func (l outdatedList) Watch(ctx context.Context, from uint64) (follow.Response[replicas.Replica], error) {
+func (l outdatedList) Watch(ctx context.Context, from follow.Position) (follow.Response[replicas.Replica], error) {
 	time.Sleep(40 * time.Millisecond)
 	return l.storeList.Watch(ctx, from)
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -51,11 +51,11 @@
 	return follow.Response[T]{Items: slices.Collect(maps.Values(listed)), Revision: l.revision}, nil
 }
 
-func (l *storeList[T]) Watch(ctx context.Context, from uint64) (follow.Response[T], error) {
+func (l *storeList[T]) Watch(ctx context.Context, from follow.Position) (follow.Response[T], error) {
 	l.mu.Lock()
 	changed, revision := l.changed, l.revision
 	l.mu.Unlock()
-	if from >= revision {
+	if from.Revision >= revision {
 		select {
 		case <-changed:
 		case <-time.After(50 * time.Millisecond):
@@ -64,7 +64,7 @@
 			return follow.Response[T]{}, ctx.Err()
 		}
 	}
-	return l.changesAfter(from), nil
+	return l.changesAfter(from.Revision), nil
 }
 
 func (l *storeList[T]) changesAfter(from uint64) follow.Response[T] {
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +18,10 @@
 // store.
 const joinDelay = 500 * time.Millisecond
 
+// registerSpread is the time over which the hosts register again after the store was restored
+// from a copy.
+const registerSpread = 2 * time.Second
+
 // registerRetryDelay is the wait after a failed registration.
 const registerRetryDelay = time.Second
 
@@ -40,9 +45,11 @@
 // trackHosts registers this host and follows the list of hosts that share the bounds.
 // It calls onJoined once this host is registered and has tried to read the list, and
 // after each failed registration. Hosts are never removed from the list: one that is gone
-// may come back, and too small a share breaks no bound.
+// may come back, and too small a share breaks no bound. A store that is restored from a copy
+// loses hosts until they register again; they are kept meanwhile.
 func (e *Entry) trackHosts(ctx context.Context, hosts Hosts, onHosts func([]watchers.Host), onJoined func()) {
 	listed := false // whether this host is on the last list that was read
+	var known knownHosts
 	read := func(stale bool) {
 		list, err := hosts.List(ctx, stale)
 		if err != nil {
@@ -50,6 +57,7 @@
 			return
 		}
 		listed = slices.Contains(list, e.settings.Self())
+		list = known.update(list, e.eras.restored.Load())
 		onHosts(list)
 		e.offload.setHosts(list)
 		division := offload.Uniform(max(len(list), 1))
@@ -73,8 +81,22 @@
 		}
 	}
 	onJoined()
-	for i := 0; wait.For(ctx, hostListIntervals[min(i, len(hostListIntervals)-1)]); i++ {
-		read(true)
+	for i := 0; ; i++ {
+		switch e.eras.waitFor(ctx, hostListIntervals[min(i, len(hostListIntervals)-1)]) {
+		case waitEnded:
+			return
+		case waitPassed:
+			read(true)
+		case waitNewEra:
+			if !wait.For(ctx, rand.N(registerSpread)) {
+				return
+			}
+			listed = false
+			if read(true); !listed && !e.register(ctx, hosts, func() {}) {
+				return
+			}
+			i = -1
+		}
 	}
 }
 
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -37,6 +37,7 @@
 	leftOut        metrics.Counter // entries for which the registry had no room
 	replicasListed bool            // whether the replicas were listed once
 	outListed      bool            // whether the data centres that are out were listed once
+	outKept        keptOut         // data centres that stay out after the store lost their entries
 	// caughtUpAt is when the first lists, which may be out of date, can be relied on.
 	caughtUpAt time.Time
 }
@@ -212,6 +213,9 @@
 	if expired := v.registry.Expire(now); len(expired) > 0 {
 		klog.InfoS("Replicas gone that did not register again", "replicas", len(expired), "first", expired[0])
 	}
+	if v.outKept.expire(now) {
+		v.registry.SetDataCentresOut(v.dataCentresOut)
+	}
 	remaining := v.registry.Incarnations()
 	v.cold.RetainOnly(remaining)
 	return remaining
@@ -220,6 +224,11 @@
 // listLog logs the availability of a list of the store.
 type listLog struct{ list string }
 
+// EraChanged implements follow.Sink.
+func (l listLog) EraChanged(_ time.Time, era uint64) {
+	klog.InfoS("List is of a new era of the store", "list", l.list, "era", era)
+}
+
 // NeedsList implements follow.Sink. Lists whose copy is never incomplete need nothing more.
 func (l listLog) NeedsList() bool { return false }
 
@@ -288,6 +297,14 @@
 	s.view.registry.SetAvailable(now, available)
 }
 
+// EraChanged implements follow.Sink.
+func (s replicaSink) EraChanged(now time.Time, era uint64) {
+	s.listLog.EraChanged(now, era)
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	s.view.registry.BeginEra(now)
+}
+
 func (s replicaSink) Replace(now time.Time, items []follow.Item[replicas.Replica], revision uint64) {
 	list := make([]replicas.Replica, 0, len(items))
 	for _, item := range items {
@@ -300,6 +317,7 @@
 	if leftOut := s.view.registry.Replace(now, list); leftOut > 0 {
 		s.recordLeftOut(leftOut, list[len(list)-1].ID)
 	}
+	s.view.registry.EndStep()
 	if !s.view.replicasListed {
 		s.view.replicasListed = true
 		s.view.firstListed(now)
@@ -310,6 +328,7 @@
 func (s replicaSink) Apply(now time.Time, items []follow.Item[replicas.Replica], revision uint64) {
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
+	defer s.view.registry.EndStep()
 	for _, item := range items {
 		if item.Removed {
 			s.view.registry.Remove(now, item.Name)
@@ -356,6 +375,14 @@
 	view *view
 }
 
+// EraChanged implements follow.Sink.
+func (s outSink) EraChanged(now time.Time, era uint64) {
+	s.listLog.EraChanged(now, era)
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	s.view.outKept.begin(now, s.view.dataCentresOut)
+}
+
 func (s outSink) Replace(now time.Time, items []follow.Item[struct{}], revision uint64) {
 	s.view.mu.Lock()
 	s.view.dataCentresOut = make(map[string]bool)
@@ -382,5 +409,6 @@
 		}
 		klog.InfoS("Data centre changed", "dataCentre", item.Name, "out", !item.Removed, "revision", revision)
 	}
-	s.view.registry.SetDataCentresOut(s.view.dataCentresOut)
+	s.view.outKept.endStep(s.view.dataCentresOut)
+	s.view.registry.SetDataCentresOut(s.view.outKept.with(s.view.dataCentresOut))
 }
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -5,7 +5,8 @@
 // The registry in the store may lag, lose entries and be unavailable. Entries that
 // lapse while the store is unavailable come back shortly after it is available again if
 // their replica is alive; until then a Registry continues to use these replicas. What a
-// replica says in its replies belongs to its incarnation and outlasts its entry.
+// replica says in its replies belongs to its incarnation and outlasts its entry. A store that
+// is restored from a copy returns to older entries until the replicas write them again.
 //
 // What a Registry holds is bounded in bytes, whatever the store lists: what is known of
 // incarnations without an entry goes first, then entries that are new.
@@ -72,7 +73,7 @@
 
 // usable reports whether the replica may get new work, apart from a pause.
 func (e *entry) usable(out map[string]bool) bool {
-	return !e.Draining && !e.run.moved && !e.run.leaving && !out[e.DataCentre]
+	return !e.Draining && !e.run.moved && !e.run.leaving && !e.run.returned && !out[e.DataCentre]
 }
 
 func (e *entry) candidate(now time.Time) Candidate {
@@ -101,6 +102,7 @@
 	bytes        int
 	maxBytes     int
 	leftOut      bool // whether an entry was left out since the last whole list
+	era          era
 }
 
 // New returns an empty registry of any size whose store is not available yet.
@@ -135,7 +137,7 @@
 
 // settling reports whether lapsed entries may still come back.
 func (r *Registry) settling(now time.Time) bool {
-	return !r.available || now.Before(r.changedAt.Add(r.lapsedGrace))
+	return !r.available || now.Before(r.changedAt.Add(r.lapsedGrace)) || now.Before(r.era.missingUntil)
 }
 
 // Put adds or updates an entry, unless its revision is older than the known one. It reports
@@ -145,6 +147,11 @@
 	if e != nil && rep.Revision < e.Revision {
 		return true
 	}
+	hadGone := r.hadGone(&rep)
+	if hadGone && e != nil { // the entry of an earlier run under the same id
+		r.Remove(now, rep.ID)
+		return true
+	}
 	if !r.makeRoom(now, e, rep) {
 		r.leftOut = true
 		if e != nil {
@@ -163,6 +170,12 @@
 		r.unregisterRun(now, e.Incarnation())
 		e.run = r.registerRun(rep.Incarnation())
 	}
+	if rep.Revision > e.Revision {
+		e.run.returned = false
+	}
+	if hadGone {
+		r.markReturned(e.run)
+	}
 	e.Replica = rep
 	e.lapsed = false
 	if rep.Cold > 0 {
@@ -230,6 +243,7 @@
 // It also forgets the runs that have long been unregistered.
 func (r *Registry) Expire(now time.Time) []string {
 	r.forgetRuns(now)
+	r.endReturned(now)
 	if r.settling(now) {
 		return nil
 	}
--- a/replicas/run.go
+++ b/replicas/run.go
@@ -19,7 +19,9 @@
 	moved bool
 	// leaving is set when the replica said that it is leaving. It is never reset: a
 	// replica that starts again is another incarnation.
-	leaving     bool
+	leaving bool
+	// returned is set while only an older copy of the store lists the run, which had gone.
+	returned    bool
 	coldUntil   time.Time
 	pausedUntil time.Time // the replica wants no requests from this host until then
 	// malformed is set when the run sent a value that can't be decoded.
--- a/watchers/chooser.go
+++ b/watchers/chooser.go
@@ -96,7 +96,7 @@
 		return Host{}, TargetStore
 	}
 	var current []Host
-	maxWatchers := (len(c.ranked) + maxHostsPerWatcher - 1) / maxHostsPerWatcher
+	maxWatchers := c.maxWatchers()
 	reachable := 0
 	for _, h := range c.ranked {
 		if h.ID == c.self.ID {
@@ -122,6 +122,32 @@
 	return Host{}, TargetStore
 }
 
+// hasWatcher reports whether a reachable watcher reads the lists for this host, though its copy may
+// be out of date.
+func (c *Chooser) hasWatcher(now time.Time) bool {
+	if !c.relays() {
+		return false
+	}
+	maxWatchers, reachable := c.maxWatchers(), 0
+	for _, h := range c.ranked {
+		if h.ID == c.self.ID {
+			return false
+		}
+		if now.Before(c.unreachable[h.ID].until) {
+			continue
+		}
+		if reachable++; reachable == maxWatchers {
+			return true
+		}
+	}
+	return false
+}
+
+// maxWatchers returns how many of the reachable hosts of this data centre are its watchers.
+func (c *Chooser) maxWatchers() int {
+	return (len(c.ranked) + maxHostsPerWatcher - 1) / maxHostsPerWatcher
+}
+
 // MarkUnreachable records that a watcher did not answer, and reports whether that is
 // new. Calls for several lists that fail together count once.
 func (c *Chooser) MarkUnreachable(now time.Time, id string) (changed bool) {
--- a/watchers/history.go
+++ b/watchers/history.go
@@ -2,6 +2,7 @@
 
 import (
 	linked "container/list"
+	"math"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -90,6 +91,16 @@
 	h.gaps = append(h.gaps, gap{after, until})
 }
 
+// lastRevision follows all revisions of an era.
+const lastRevision = math.MaxUint64
+
+// end adds the difference from the state at a revision to that at which the next era begins. The
+// history then serves hosts that know a state up to that revision.
+func (h *history) end(difference []Object, revision uint64) {
+	h.addGap(revision, lastRevision)
+	h.add(difference, lastRevision)
+}
+
 // since returns the changes after a revision, whether any were found, and whether a
 // difference is among them. There may be changes without objects.
 func (h *history) since(from uint64) (objects []Object, found, collapsed bool, _ error) {
--- a/watchers/hosts_test.go
+++ b/watchers/hosts_test.go
@@ -35,6 +35,7 @@
 	changed     chan struct{}
 	unavailable bool // for all hosts
 	compacted   uint64
+	era         uint64
 }
 
 func newStore() *storeStandIn { return &storeStandIn{revision: 1, changed: make(chan struct{})} }
@@ -119,20 +120,20 @@
 	if v.unavailable {
 		return response{}, errNoAnswer
 	}
-	return response{Items: slices.Clone(v.objects), Revision: v.revision}, nil
+	return response{Items: slices.Clone(v.objects), Revision: v.revision, Era: v.era}, nil
 }
 
-func (v *hostStore) Watch(ctx context.Context, from uint64, pollTimeout time.Duration) (response, error) {
+func (v *hostStore) Watch(ctx context.Context, from follow.Position, pollTimeout time.Duration) (response, error) {
 	if err := v.call(); err != nil {
 		return response{}, err
 	}
 	end := time.After(pollTimeout)
 	for {
 		v.storeStandIn.mu.Lock()
-		a, unavailable, changed := response{Revision: v.revision}, v.unavailable, v.changed
-		lost := from < v.compacted
+		a, unavailable, changed := response{Revision: v.revision, Era: v.era}, v.unavailable, v.changed
+		lost := from.Revision < v.compacted
 		for _, o := range v.objects {
-			if o.Revision > from {
+			if o.Revision > from.Revision {
 				a.Items = append(a.Items, o)
 			}
 		}
@@ -140,8 +141,11 @@
 		if unavailable {
 			return response{}, errNoAnswer
 		}
+		if from.Era < a.Era {
+			return response{}, errors.Wrapf(follow.ErrNewEra, "era %d", a.Era)
+		}
 		if lost {
-			return response{}, errors.Wrapf(follow.ErrCompacted, "revision %d", from)
+			return response{}, errors.Wrapf(follow.ErrCompacted, "revision %d", from.Revision)
 		}
 		if len(a.Items) > 0 {
 			return a, nil
@@ -177,6 +181,7 @@
 	}
 }
 
+func (m *testHost) EraChanged(time.Time, uint64) { m.record("era") }
 func (m *testHost) NeedsList() bool              { return false }
 func (m *testHost) Available(time.Time)          { m.record("available") }
 func (m *testHost) Unavailable(time.Time, error) { m.record("unavailable") }
--- a/watchers/list.go
+++ b/watchers/list.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/follow"
@@ -31,15 +32,18 @@
 // are not passed on: the store's link and processor can serve them to many hosts that
 // start together, those of a small host can't.
 //
-// Invariants: history holds the changes up to revision; known holds the names and revisions
-// of all objects at revision, or is nil if these take more than maxBytes; knownBytes is their
-// approximate memory.
+// Invariants: history holds the changes of the current era up to position; known holds the names
+// and versions of all objects there, or is nil if these take more than maxBytes; knownBytes is
+// their approximate memory.
 type list struct {
 	mu       sync.Mutex
 	listed   bool
 	history  *history
-	revision uint64
-	known    map[string]uint64
+	position follow.Position
+	known    map[string]version
+	// previous leads hosts that know a state of the previous era to the first one of this
+	// era; nil if that is not known.
+	previous *previousEra
 
 	maxBytes   int // of known
 	knownBytes int
@@ -50,39 +54,82 @@
 	changed      chan struct{} // closed at the next change
 }
 
+// version is a version of an object. The same revision may be given out again in the next era, for
+// another value.
+type version struct {
+	revision uint64
+	digest   uint64 // of the value
+}
+
+func versionOf(o Object) version { return version{o.Revision, xxhash.Sum64(o.Value)} }
+
+// previousEra is the history of the previous era, with the difference to the first state of the
+// current one.
+type previousEra struct {
+	history *history
+	era     uint64
+	next    uint64    // first revision that was listed in the current era
+	endedAt time.Time // as far as this host knows
+}
+
+// previousEraTime is how long the previous era's history is kept: longer than hosts take to notice
+// a new era.
+const previousEraTime = 30 * time.Second
+
 // knownOverhead is the approximate memory of a known object besides its name, in bytes.
 const knownOverhead = 64
 
 func newList(maxBytes int) *list {
-	return &list{history: newHistory(maxBytes), changed: make(chan struct{}), known: map[string]uint64{}, maxBytes: maxBytes}
+	return &list{history: newHistory(maxBytes), changed: make(chan struct{}), known: map[string]version{}, maxBytes: maxBytes}
 }
 
 // replace records that this host has read a whole list. If it had read one before, the
 // difference is passed on like a change, so that the other hosts need not read the whole
-// list when the store has lost its history.
+// list when the store has lost its history or is in a new era.
 func (l *list) replace(a follow.Response[json.RawMessage]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.listed && l.known != nil && a.Revision >= l.revision {
-		l.history.addGap(l.revision, a.Revision)
-		l.history.add(l.difference(a.Items), a.Revision)
-	} else {
-		l.history.restart(a.Revision)
+	at := a.Position()
+	switch {
+	case !l.listed || l.known == nil || at.Before(l.position):
+		l.previous = nil
+		l.history.restart(at.Revision)
+	case at.Era > l.position.Era:
+		l.beginEra(l.difference(a.Items), at)
+	default:
+		l.history.addGap(l.position.Revision, at.Revision)
+		l.history.add(l.difference(a.Items), at.Revision)
 	}
 	l.listed = true
-	l.revision = a.Revision
-	l.known, l.knownBytes = map[string]uint64{}, 0
+	l.position = at
+	l.known, l.knownBytes = map[string]version{}, 0
 	l.learn(a.Items)
 	l.notify()
 }
 
+// beginEra starts the history of a new era whose first state is at a position. The difference
+// leads there from the last known state.
+func (l *list) beginEra(difference []Object, at follow.Position) {
+	l.history.end(difference, l.position.Revision)
+	l.previous = &previousEra{history: l.history, era: l.position.Era, next: at.Revision, endedAt: l.lastAnswer}
+	l.history = newHistory(l.history.maxBytes)
+	l.history.restart(at.Revision)
+}
+
+// era returns the era of the copy.
+func (l *list) era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.position.Era
+}
+
 // difference returns the changes that lead from the known objects to a whole list.
 func (l *list) difference(items []Object) []Object {
 	var changes []Object
 	listed := make(map[string]bool, len(items))
 	for _, o := range items {
 		listed[o.Name] = true
-		if revision, ok := l.known[o.Name]; !ok || revision != o.Revision {
+		if known, ok := l.known[o.Name]; !ok || known != versionOf(o) {
 			changes = append(changes, o)
 		}
 	}
@@ -107,7 +154,7 @@
 			delete(l.known, o.Name)
 			l.knownBytes -= knownOverhead + len(o.Name)
 		case !o.Removed:
-			l.known[o.Name] = o.Revision
+			l.known[o.Name] = versionOf(o)
 			if !known {
 				l.knownBytes += knownOverhead + len(o.Name)
 			}
@@ -118,20 +165,30 @@
 	}
 }
 
-// apply adds the changes of a response that came after a revision. collapsed states
-// whether they are collapsed.
-func (l *list) apply(a follow.Response[json.RawMessage], after uint64, collapsed bool) {
+// apply adds the changes of a response that came after a position. collapsed states
+// whether they are collapsed, as they are if they lead to a new era.
+func (l *list) apply(a follow.Response[json.RawMessage], after follow.Position, collapsed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision = max(l.revision, a.Revision)
+	at := a.Position()
+	if at.Era > l.position.Era {
+		l.beginEra(a.Items, at)
+		l.position = at
+		l.learn(a.Items)
+		l.notify()
+		return
+	}
+	if l.position.Before(at) {
+		l.position = at
+	}
 	if len(a.Items) == 0 && !collapsed {
 		return
 	}
 	l.learn(a.Items)
 	if collapsed {
-		l.history.addGap(after, l.revision)
+		l.history.addGap(after.Revision, l.position.Revision)
 	}
-	l.history.add(a.Items, l.revision)
+	l.history.add(a.Items, l.position.Revision)
 	l.notify()
 }
 
@@ -150,6 +207,9 @@
 		}
 		l.lastAnswer = now
 		l.failingSince = time.Time{}
+		if l.previous != nil && now.Sub(l.previous.endedAt) > previousEraTime {
+			l.previous = nil
+		}
 		return
 	}
 	if l.failingSince.IsZero() {
@@ -178,12 +238,12 @@
 	unavailableFor time.Duration // since calls to the store fail; set with errStoreUnavailable
 	listed         bool          // whether this host has read the list
 	hasChanges     bool          // whether the response holds changes
-	collapsed      bool          // whether some of them are collapsed
+	collapsed      bool          // whether some of them are collapsed, or lead to a new era
 	changed        <-chan struct{}
 }
 
-// changesAfter returns the state of the list and its changes after a revision.
-func (l *list) changesAfter(now time.Time, from uint64, maxAge time.Duration) (state, error) {
+// changesAfter returns the state of the list and its changes after a position.
+func (l *list) changesAfter(now time.Time, from follow.Position, maxAge time.Duration) (state, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := state{age: now.Sub(l.lastAnswer), recovered: neverFailed, listed: l.listed, changed: l.changed}
@@ -197,16 +257,38 @@
 		}
 		return s, errStale
 	}
-	s.response.Revision = l.revision
+	if from.Era > l.position.Era {
+		return s, errors.Wrapf(errStale, "era %d, asked for %d", l.position.Era, from.Era)
+	}
+	s.response.Era, s.response.Revision = l.position.Era, l.position.Revision
 	var err error
-	s.response.Items, s.hasChanges, s.collapsed, err = l.history.since(from)
+	if from.Era < l.position.Era {
+		s.response.Items, err = l.stepFrom(from)
+		s.hasChanges, s.collapsed = true, true
+		return s, err
+	}
+	s.response.Items, s.hasChanges, s.collapsed, err = l.history.since(from.Revision)
 	return s, err
 }
 
-// waitForChanges returns the changes after a revision as soon as there are any. It
+// stepFrom returns the changes that lead from a position in the previous era to the current
+// state.
+func (l *list) stepFrom(from follow.Position) ([]Object, error) {
+	if l.previous == nil || l.previous.era != from.Era {
+		return nil, errors.Wrapf(errRevisionTooOld, "era %d", from.Era)
+	}
+	step, _, _, err := l.previous.history.since(from.Revision)
+	if err != nil {
+		return nil, err
+	}
+	changes, _, _, err := l.history.since(l.previous.next)
+	return append(step, changes...), err
+}
+
+// waitForChanges returns the changes after a position as soon as there are any. It
 // fails when the copy is older than maxAge, and after firstListTimeout if this host has
 // not read the list yet.
-func (l *list) waitForChanges(ctx context.Context, from uint64, maxAge, timeout time.Duration) (state, error) {
+func (l *list) waitForChanges(ctx context.Context, from follow.Position, maxAge, timeout time.Duration) (state, error) {
 	start := time.Now()
 	for {
 		now := time.Now()
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -7,11 +7,16 @@
 // and only while the store's last answer is recent. A host that calls a watcher
 // therefore lags behind one that calls the store by at most that age plus the time
 // until a silent watcher is noticed. Whole lists are always read from the store.
+//
+// When the store begins a new era, the watchers read the lists anew and pass on the
+// differences. The hosts behind them wait a while for these before they read lists
+// themselves.
 package watchers
 
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -27,8 +32,9 @@
 	// List returns the whole list. A stale list may be seconds old and costs less; its
 	// revision is as old as its objects.
 	List(ctx context.Context, stale bool) (follow.Response[json.RawMessage], error)
-	// Watch waits for changes after a revision, at most for pollTimeout.
-	Watch(ctx context.Context, from uint64, pollTimeout time.Duration) (follow.Response[json.RawMessage], error)
+	// Watch waits for changes after a position, at most for pollTimeout. Once the store is in
+	// a later era it returns follow.ErrNewEra.
+	Watch(ctx context.Context, from follow.Position, pollTimeout time.Duration) (follow.Response[json.RawMessage], error)
 }
 
 // Config sets the timeouts and delays of a Relay.
@@ -59,10 +65,12 @@
 	codeRevisionTooOld = 3
 )
 
-// changesRequest asks for the changes after a revision.
+// changesRequest asks for the changes after a position. The era is missing from messages of
+// hosts that do not know of eras, which counts as era 0.
 type changesRequest struct {
 	List string `json:"list"`
 	From uint64 `json:"from"`
+	Era  uint64 `json:"era,omitempty"`
 }
 
 type changesReply struct {
@@ -74,6 +82,9 @@
 	// but only lead from the state then to that at Revision.
 	Collapsed bool   `json:"collapsed,omitempty"`
 	Revision  uint64 `json:"revision"`
+	// Era is the era of Revision. If it is later than that of the request, the objects lead
+	// to it.
+	Era uint64 `json:"era,omitempty"`
 	// RecoveredMS is the time since the watcher reached the store again after a
 	// failure, negative if it never failed.
 	RecoveredMS int64 `json:"regained_ms"`
@@ -89,15 +100,20 @@
 	chooser *Chooser
 	lists   map[string]*list
 	source  string // destination of the last call, for the log
+	onEra   func(era uint64)
 }
 
 // New returns a relay that serves calls from other hosts once the node listens.
 func New(cfg Config, self Host, node *peer.Node) *Relay {
-	rl := &Relay{cfg: cfg, node: node, chooser: NewChooser(self), lists: map[string]*list{}}
+	rl := &Relay{cfg: cfg, node: node, chooser: NewChooser(self), lists: map[string]*list{}, onEra: func(uint64) {}}
 	node.Handle(methodChanges, rl.handleChanges)
 	return rl
 }
 
+// OnEra sets the function that is called with each era that a watcher's answer leads to. It must
+// be called before the first call of a Source.
+func (rl *Relay) OnEra(observer func(era uint64)) { rl.onEra = observer }
+
 // SetHosts sets the hosts of the tier.
 func (rl *Relay) SetHosts(hosts []Host) {
 	rl.mu.Lock()
@@ -135,7 +151,7 @@
 	if l == nil {
 		return nil, errors.Newf("unknown list %q", request.List)
 	}
-	s, err := l.waitForChanges(ctx, request.From, rl.cfg.maxAge(), rl.cfg.PollTimeout)
+	s, err := l.waitForChanges(ctx, follow.Position{Era: request.Era, Revision: request.From}, rl.cfg.maxAge(), rl.cfg.PollTimeout)
 	switch {
 	case errors.Is(err, errStoreUnavailable):
 		return changesReply{UnavailableMS: max(s.unavailableFor.Milliseconds(), 1)}, nil
@@ -146,7 +162,7 @@
 	case err != nil:
 		return nil, err
 	}
-	return changesReply{Objects: s.response.Items, Collapsed: s.collapsed, Revision: s.response.Revision, RecoveredMS: s.recovered.Milliseconds()}, nil
+	return changesReply{Objects: s.response.Items, Collapsed: s.collapsed, Revision: s.response.Revision, Era: s.response.Era, RecoveredMS: s.recovered.Milliseconds()}, nil
 }
 
 // Source follows one list of the store, through a watcher if one is available.
@@ -161,8 +177,15 @@
 	// outageReported is when the follower was last told of an outage that a watcher
 	// reported.
 	outageReported time.Time
+	// stepUntil is until when this host waits for a watcher's difference to the new era of the
+	// store; zero if it knows of none.
+	stepUntil time.Time
 }
 
+// stepTime is how long a host waits for a watcher that reads the list of a new era. It covers
+// the time over which the watchers spread their lists.
+const stepTime = 2 * time.Second
+
 // Source returns the source of a list, for one follower.
 func (rl *Relay) Source(name string, store StoreList) *Source {
 	rl.mu.Lock()
@@ -184,6 +207,10 @@
 	if err := s.recordCall(ctx, err); err != nil {
 		return answer, err
 	}
+	if era := s.list.era(); answer.Era < era {
+		return answer, errors.Wrapf(follow.ErrOldEra, "list %s: era %d, known is %d", s.name, answer.Era, era)
+	}
+	s.stepUntil = time.Time{}
 	s.listed = true
 	if !stale { // the changes that a stale list lacks are asked for at once
 		_, answer.Pause = s.relay.pollTimes()
@@ -193,28 +220,38 @@
 }
 
 // Watch implements follow.Source.
-func (s *Source) Watch(ctx context.Context, from uint64) (follow.Response[json.RawMessage], error) {
+func (s *Source) Watch(ctx context.Context, from follow.Position) (follow.Response[json.RawMessage], error) {
 	watcher, target := s.relay.next()
+	canStep := true // whether a watcher's difference to a new era may still come
 	if target == TargetWatcher {
 		answer, collapsed, err := s.askWatcher(ctx, watcher, from)
 		if err == nil {
+			s.stepUntil = time.Time{}
 			s.list.apply(answer, from, collapsed)
 			return answer, nil
 		}
 		if errors.Is(err, errStoreUnavailable) || ctx.Err() != nil {
 			return answer, err
 		}
+		canStep = !isTooOld(err)
 		// Call the store before another watcher: the store has all changes.
 		if _, target = s.relay.next(); target == TargetWatcher {
 			target = TargetStore
 		}
 	}
+	if canStep && time.Now().Before(s.stepUntil) {
+		return follow.Response[json.RawMessage]{}, s.awaitStep()
+	}
 	if target == TargetNone {
 		return follow.Response[json.RawMessage]{}, s.noTarget()
 	}
 	pollTimeout, batchDelay := s.relay.pollTimes()
 	answer, err := s.store.Watch(ctx, from, pollTimeout)
 	if err := s.recordCall(ctx, err); err != nil {
+		if errors.Is(err, follow.ErrNewEra) && canStep && s.stepUntil.IsZero() && s.relay.hasWatcher() {
+			s.stepUntil = time.Now().Add(stepTime)
+			return answer, s.awaitStep()
+		}
 		return answer, err
 	}
 	answer.Pause = batchDelay
@@ -222,18 +259,36 @@
 	return answer, nil
 }
 
+func (s *Source) awaitStep() error {
+	return errors.Wrapf(follow.ErrOldEra, "list %s: no watcher has read it in the new era yet", s.name)
+}
+
+// isTooOld reports whether a watcher does not have the changes that were asked for.
+func isTooOld(err error) bool {
+	var remote *peer.RemoteError
+	return errors.As(err, &remote) && remote.Code == codeRevisionTooOld
+}
+
+// hasWatcher reports whether another host reads the lists for this one.
+func (rl *Relay) hasWatcher() bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.chooser.hasWatcher(time.Now())
+}
+
 func (s *Source) noTarget() error {
 	return errors.Wrapf(errStale, "list %s: no watcher is up to date, and the last call to the store failed", s.name)
 }
 
 // recordCall records the result of a call to the store and returns its error. Compacted
-// history and changes that are too large count as answers.
+// history, a new era and changes that are too large count as answers. An answer of an earlier
+// era says nothing about the store of now.
 func (s *Source) recordCall(ctx context.Context, err error) error {
-	if err != nil && ctx.Err() != nil {
+	if err != nil && (ctx.Err() != nil || errors.Is(err, follow.ErrOldEra)) {
 		return err
 	}
 	now := time.Now()
-	answered := err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrTooLarge)
+	answered := err == nil || errors.IsAny(err, follow.ErrCompacted, follow.ErrNewEra, follow.ErrTooLarge)
 	s.list.recordCall(now, answered)
 	s.relay.mu.Lock()
 	s.relay.chooser.RecordStoreCall(now, answered)
@@ -257,20 +312,27 @@
 }
 
 // askWatcher calls a watcher for changes, and reports whether they are collapsed.
-func (s *Source) askWatcher(ctx context.Context, watcher Host, from uint64) (_ follow.Response[json.RawMessage], collapsed bool, _ error) {
+func (s *Source) askWatcher(ctx context.Context, watcher Host, from follow.Position) (_ follow.Response[json.RawMessage], collapsed bool, _ error) {
 	rl := s.relay
 	ctx, cancel := context.WithTimeout(ctx, rl.cfg.PollTimeout+rl.cfg.ReplyGrace)
 	defer cancel()
 	var r changesReply
-	err := rl.node.Call(ctx, watcher.Address, methodChanges, changesRequest{List: s.name, From: from}, &r)
+	err := rl.node.Call(ctx, watcher.Address, methodChanges, changesRequest{List: s.name, From: from.Revision, Era: from.Era}, &r)
 	now := time.Now()
 	var remote *peer.RemoteError
+	if err == nil && r.UnavailableMS == 0 && r.Era != from.Era {
+		if r.Era < from.Era { // a watcher that does not know of eras
+			err = &peer.RemoteError{Code: codeStale, Message: fmt.Sprintf("era %d, asked for %d", r.Era, from.Era)}
+		} else {
+			rl.onEra(r.Era)
+		}
+	}
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
 	switch {
 	case err == nil && r.UnavailableMS > 0:
 		if rl.chooser.MarkStale(now, watcher.ID) {
-			klog.InfoS("Watcher has lost the store", "list", s.name, "watcher", watcher.ID, "from", from, "awayMS", r.UnavailableMS)
+			klog.InfoS("Watcher has lost the store", "list", s.name, "watcher", watcher.ID, "from", from.Revision, "awayMS", r.UnavailableMS)
 		}
 	case err == nil, errors.As(err, &remote) && remote.Code == codeRevisionTooOld:
 		if rl.chooser.MarkCurrent(watcher.ID) {
@@ -278,10 +340,10 @@
 		}
 	case errors.As(err, &remote) && remote.Code == codeStale:
 		if rl.chooser.MarkStale(now, watcher.ID) {
-			klog.InfoS("Watcher is behind", "list", s.name, "watcher", watcher.ID, "from", from, "err", err)
+			klog.InfoS("Watcher is behind", "list", s.name, "watcher", watcher.ID, "from", from.Revision, "err", err)
 		}
 	case rl.chooser.MarkUnreachable(now, watcher.ID):
-		klog.InfoS("Watcher does not answer", "list", s.name, "watcher", watcher.ID, "from", from, "err", err)
+		klog.InfoS("Watcher does not answer", "list", s.name, "watcher", watcher.ID, "from", from.Revision, "err", err)
 	}
 	if err != nil {
 		return follow.Response[json.RawMessage]{}, false, err
@@ -295,7 +357,7 @@
 		s.list.setRecovered(recovered)
 		return follow.Response[json.RawMessage]{}, false, errors.Wrapf(errStoreUnavailable, "watcher %s reached the store again %d ms ago", watcher.ID, r.RecoveredMS)
 	}
-	return follow.Response[json.RawMessage]{Items: r.Objects, Revision: r.Revision}, r.Collapsed, nil
+	return follow.Response[json.RawMessage]{Items: r.Objects, Revision: r.Revision, Era: r.Era}, r.Collapsed, nil
 }
 
 // storeUnavailable handles a watcher's report that the store does not answer it, which
--- a/watchers/watchers_test.go
+++ b/watchers/watchers_test.go
@@ -150,28 +150,28 @@
 	s, sources := startThreeHosts(t)
 	first, second, third := sources[0], sources[1], sources[2]
 	s.setUnavailable(true)
-	if _, err := first.Watch(t.Context(), 1); err == nil {
+	if _, err := first.Watch(t.Context(), at(1)); err == nil {
 		t.Fatal("the store answered while it was unavailable")
 	}
 	s.setUnavailable(false)
 	s.put(Object{Name: "lapsed", Removed: true})
-	if _, err := first.Watch(t.Context(), 1); err != nil {
+	if _, err := first.Watch(t.Context(), at(1)); err != nil {
 		t.Fatal(err)
 	}
-	_, err := second.Watch(t.Context(), 1)
+	_, err := second.Watch(t.Context(), at(1))
 	if !errors.Is(err, errStoreUnavailable) {
 		t.Fatalf("the second host got %v, want a store outage", err)
 	}
 	// The reported time since the outage does not include the reply's transit, so a
 	// call right after the first may report the outage once more.
 	for end := time.Now().Add(testTimeout); errors.Is(err, errStoreUnavailable) && time.Now().Before(end); {
-		_, err = second.Watch(t.Context(), 1)
+		_, err = second.Watch(t.Context(), at(1))
 	}
 	if err != nil {
 		t.Fatal(err)
 	}
 	third.relay.chooser.MarkUnreachable(time.Now(), first.relay.chooser.self.ID)
-	if a, err := third.Watch(t.Context(), 1); !errors.Is(err, errStoreUnavailable) {
+	if a, err := third.Watch(t.Context(), at(1)); !errors.Is(err, errStoreUnavailable) {
 		t.Errorf("the third host got %+v, %v, want a store outage", a, err)
 	}
 }
@@ -183,20 +183,20 @@
 	s, sources := startThreeHosts(t)
 	first, second, third := sources[0], sources[1], sources[2]
 	s.setUnavailable(true)
-	if _, err := first.Watch(t.Context(), 1); err == nil {
+	if _, err := first.Watch(t.Context(), at(1)); err == nil {
 		t.Fatal("the store answered while it was unavailable")
 	}
 	time.Sleep(testConfig.maxAge())
 	s.setUnavailable(false)
 	s.put(Object{Name: "lapsed", Removed: true})
-	if a, err := second.Watch(t.Context(), 1); !errors.Is(err, errStoreUnavailable) {
+	if a, err := second.Watch(t.Context(), at(1)); !errors.Is(err, errStoreUnavailable) {
 		t.Errorf("the second host got %+v, %v", a, err)
 	}
-	if _, err := second.Watch(t.Context(), 1); err != nil {
+	if _, err := second.Watch(t.Context(), at(1)); err != nil {
 		t.Fatal(err)
 	}
 	third.relay.chooser.MarkUnreachable(time.Now(), first.relay.chooser.self.ID)
-	if a, err := third.Watch(t.Context(), 1); !errors.Is(err, errStoreUnavailable) {
+	if a, err := third.Watch(t.Context(), at(1)); !errors.Is(err, errStoreUnavailable) {
 		t.Errorf("the third host got %+v, %v, want a store outage", a, err)
 	}
 }
@@ -208,17 +208,17 @@
 	s, sources := startThreeHosts(t)
 	first, second := sources[0], sources[1]
 	first.store.(*hostStore).setFailing()
-	if _, err := first.Watch(t.Context(), 1); err == nil {
+	if _, err := first.Watch(t.Context(), at(1)); err == nil {
 		t.Fatal("the store answered the watcher")
 	}
 	time.Sleep(testConfig.maxAge())
-	if _, err := second.Watch(t.Context(), 1); !errors.Is(err, errStoreUnavailable) {
+	if _, err := second.Watch(t.Context(), at(1)); !errors.Is(err, errStoreUnavailable) {
 		t.Fatalf("the second host got %v, want a store outage", err)
 	}
 	for range 3 {
 		time.Sleep(staleTime)
 		s.put(Object{Name: "change"})
-		if a, err := second.Watch(t.Context(), 1); err != nil || len(a.Items) == 0 {
+		if a, err := second.Watch(t.Context(), at(1)); err != nil || len(a.Items) == 0 {
 			t.Errorf("the second host got %+v, %v", a, err)
 		}
 	}
