soak: the store returns from a copy

The soak's store tells its era, keeps its earlier states and can be restored to one of them; what the operator and the replicas wrote since is written again. After each run all hosts have to be on the host list. Replicas register with the time of their start, as real ones do.

TestStoreReturnsFromCopy: two drills in a row with a host killed in the second, a draining state below the watched revision, a lost host list and a lost version. With the header ignored by platform it fails: all 8 hosts are missing from the list, and in another run, with a copy made after the hosts had registered, a draining replica got requests.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -18,14 +18,14 @@
 	for step := 0; time.Now().Before(end); step++ {
 		duration := time.Duration(300+rng.IntN(1500)) * time.Millisecond
 		h := f.hosts[rng.IntN(len(f.hosts))]
-		kind := rng.IntN(11)
+		kind := rng.IntN(12)
 		choice := rng.Uint64()
 		if kind <= 2 { // at most one signal fault at a time for each process
 			if done := signalled[h]; done != nil {
 				select {
 				case <-done:
 				default:
-					kind = 3 + rng.IntN(8)
+					kind = 3 + rng.IntN(9)
 				}
 			}
 		}
@@ -75,6 +75,8 @@
 		f.leaveInAnswers(r, step)
 	case 10:
 		f.pauseInAnswers(r, duration)
+	case 11:
+		f.restoreStore(time.Duration(choice%4)*time.Second, duration/2, duration)
 	}
 }
 
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -89,6 +89,7 @@
 // replica is a stand-in for a replica. It is registered with the address of its relay.
 type replica struct {
 	id, service string
+	started     time.Time
 	relay       *relay
 	runCounter  *runCounter
 	behaviour   atomic.Int32
@@ -107,7 +108,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	r := &replica{id: id, service: service, runCounter: counter, relay: startRelay(t, l.Addr().String()), run: run}
+	r := &replica{id: id, service: service, started: time.Now(), runCounter: counter, relay: startRelay(t, l.Addr().String()), run: run}
 	r.records.Store(1)
 	go func() {
 		for {
@@ -122,7 +123,7 @@
 }
 
 func (r *replica) registration(state string) map[string]any {
-	return map[string]any{"service": r.service, "address": r.relay.address(), "zone": "dc", "slots": 2, "state": state, "cold_remaining_ms": 0, "sequence": 1}
+	return map[string]any{"service": r.service, "address": r.relay.address(), "zone": "dc", "slots": 2, "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": r.started.UnixMilli()}
 }
 
 func (r *replica) serve(c net.Conn) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -453,6 +453,7 @@
 // checkAfterRun checks the guarantees that hold over the whole run.
 func (f *fleet) checkAfterRun() {
 	f.checkRuns()
+	f.checkHostsListed()
 	for _, h := range f.hosts {
 		f.checkMemory(h)
 	}
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -38,6 +38,9 @@
 	Removed  bool   `json:"removed"`
 	kind     string
 	revision uint64
+	at       time.Time
+	// superseded is set if a later change of the object is older than any state needed.
+	superseded bool
 }
 
 // hangTime is how long the store holds a call in mode storeHangs. It is longer than any
@@ -54,43 +57,138 @@
 	compacted uint64 // the history up to this revision was dropped
 	changed   chan struct{}
 	mode      storeMode
+	era       uint64
+	// log holds all changes of the present era's states.
+	log []event
 }
 
 func newStore() *store {
-	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	return &store{era: 1, revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
 }
 
 // put writes an object, or removes it if spec is nil.
-func (s *store) put(kind, name string, spec any) {
+func (s *store) put(kind, name string, spec any) { s.putMany(kind, []string{name}, spec) }
+
+// putMany writes objects that are alike, as one change for those who watch.
+func (s *store) putMany(kind string, names []string, spec any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]object{}
+	s.change(kind, names, spec)
+}
+
+// change is putMany for a caller that holds mu.
+func (s *store) change(kind string, names []string, spec any) {
+	for _, name := range names {
+		s.revision++
+		o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: spec}
+		e := event{Object: o, Removed: spec == nil, kind: kind, revision: s.revision, at: time.Now()}
+		s.apply(e)
+		s.history = append(s.history, e)
+		s.log = append(s.log, e)
+	}
+	if len(s.log) > maxLog {
+		s.shortenLog()
+	}
+	s.notify()
+}
+
+const (
+	// maxLog is the length from which on the log is shortened.
+	maxLog = 1 << 16
+	// maxCopyAge is the age of the oldest state that the store can be restored to.
+	maxCopyAge = 30 * time.Second
+)
+
+// shortenLog drops the changes that only states before maxCopyAge need. The caller holds mu.
+func (s *store) shortenLog() {
+	type key struct{ kind, name string }
+	oldest, later := time.Now().Add(-maxCopyAge), map[key]bool{}
+	for i := len(s.log) - 1; i >= 0; i-- {
+		e := &s.log[i]
+		if k := (key{e.kind, e.Object.Meta.Name}); !e.at.After(oldest) {
+			e.superseded = later[k]
+			later[k] = true
+		}
+	}
+	s.log = slices.DeleteFunc(s.log, func(e event) bool { return e.superseded })
+}
+
+// apply applies a change to the objects. The caller holds mu.
+func (s *store) apply(e event) {
+	if s.objects[e.kind] == nil {
+		s.objects[e.kind] = map[string]object{}
 	}
-	o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: spec}
-	if spec == nil {
-		delete(s.objects[kind], name)
+	if e.Removed {
+		delete(s.objects[e.kind], e.Object.Meta.Name)
 	} else {
-		s.objects[kind][name] = o
+		s.objects[e.kind][e.Object.Meta.Name] = e.Object
 	}
-	s.history = append(s.history, event{Object: o, Removed: spec == nil, kind: kind, revision: s.revision})
+}
+
+// notify wakes those who watch. The caller holds mu.
+func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// putMany writes objects that are alike, as one change for those who watch.
-func (s *store) putMany(kind string, names []string, spec any) {
+// hostKind is the kind of the objects that the hosts write. All others are those of the operator
+// and the replicas.
+const hostKind = "marigoldlever-hosts"
+
+// restore begins a new era with the state of an earlier time. It returns what the operator and the
+// replicas have to write again.
+func (s *store) restore(to time.Time) (lost []event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, name := range names {
-		s.revision++
-		o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: spec}
-		s.objects[kind][name] = o
-		s.history = append(s.history, event{Object: o, kind: kind, revision: s.revision})
+	kept := slices.IndexFunc(s.log, func(e event) bool { return e.at.After(to) })
+	if kept < 0 {
+		kept = len(s.log)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	for _, e := range s.log[kept:] {
+		if e.kind != hostKind {
+			lost = append(lost, e)
+		}
+	}
+	s.era++
+	s.log = slices.Clone(s.log[:kept])
+	s.history = slices.DeleteFunc(slices.Clone(s.history), func(e event) bool { return e.at.After(to) })
+	s.objects = map[string]map[string]object{}
+	s.revision = 1
+	for _, e := range s.log {
+		s.apply(e)
+		s.revision = e.revision
+	}
+	s.compacted = min(s.compacted, s.revision)
+	s.notify()
+	return lost
+}
+
+// rewrite repeats a lost change, unless a later one has been made since.
+func (s *store) rewrite(lost event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := lost.Object.Meta.Name
+	for _, e := range s.log {
+		if e.kind == lost.kind && e.Object.Meta.Name == name && e.at.After(lost.at) {
+			return
+		}
+	}
+	s.change(lost.kind, []string{name}, lost.Object.Spec)
+}
+
+// firstWrite returns the time of the first change of a kind.
+func (s *store) firstWrite(kind string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log[slices.IndexFunc(s.log, func(e event) bool { return e.kind == kind })].at
+}
+
+// lists reports whether the store has an object.
+func (s *store) lists(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[kind][name]
+	return ok
 }
 
 func (s *store) setMode(m storeMode) {
@@ -119,6 +217,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	mode := s.mode
+	s.tellEra(w)
 	s.mu.Unlock()
 	switch mode {
 	case storeUnavailable:
@@ -178,9 +277,13 @@
 // listPage is the maximum number of items in a list response.
 const listPage = 3
 
+// tellEra adds the era to the header of an answer. The caller holds mu.
+func (s *store) tellEra(w http.ResponseWriter) { w.Header().Set("Store-Era", fmt.Sprint(s.era)) }
+
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tellEra(w)
 	var names []string
 	for name := range s.objects[kind] {
 		if name > r.URL.Query().Get("after") {
@@ -207,6 +310,7 @@
 	for {
 		s.mu.Lock()
 		changed, revision, compacted := s.changed, s.revision, s.compacted
+		s.tellEra(w)
 		events := []event{}
 		for _, e := range s.history {
 			if e.kind == kind && e.revision > from {
@@ -214,7 +318,7 @@
 			}
 		}
 		s.mu.Unlock()
-		if from < compacted {
+		if from < compacted || from > revision {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
