platformstandin: the platform can be restored from a copy

POST /admin/restore?age_ms=N sets objects and host list back and begins a new era; versions are given out again, lost writes are marked in the history, and each answer tells the era. The daemon of the own interface doesn't read the era yet.

--- a/internal/standin/platformstandin/admin.go
+++ b/internal/standin/platformstandin/admin.go
@@ -7,12 +7,13 @@
 
 // handleAdmin adds the admin API: PUT and GET /admin/faults, GET /admin/history (with
 // ?object=NAME for one object and ?values=true to include the values), GET /admin/counts
-// and GET /admin/hosts. Faults do not affect it.
+// and GET /admin/hosts, and POST /admin/restore with ?age_ms=N. Faults do not affect it.
 func (p *Platform) handleAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("PUT /admin/faults", p.servePutFaults)
 	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Faults()) })
 	mux.HandleFunc("GET /admin/history", p.serveHistory)
 	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
+	mux.HandleFunc("POST /admin/restore", p.serveRestore)
 	mux.HandleFunc("GET /admin/hosts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.CurrentHosts()) })
 }
 
--- a/internal/standin/platformstandin/history.go
+++ b/internal/standin/platformstandin/history.go
@@ -22,6 +22,8 @@
 	DataCentre string    `json:"data_centre"`
 	Size       int       `json:"size"`
 	Digest     string    `json:"digest"` // SHA-256 of the value, hexadecimal
+	// Lost is set once the platform was restored to a state before the write.
+	Lost bool `json:"lost,omitempty"`
 	// Value is nil after it was dropped to keep within historyValueBytes.
 	Value []byte `json:"value,omitempty"`
 }
--- a/internal/standin/platformstandin/http.go
+++ b/internal/standin/platformstandin/http.go
@@ -28,7 +28,7 @@
 	mux.HandleFunc("PUT /v1/hosts/{id}", p.servePutHost)
 	mux.HandleFunc("DELETE /v1/hosts/{id}", p.serveDeleteHost)
 	p.handleAdmin(mux)
-	return mux
+	return p.tellEra(mux)
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformstandin/platform.go
+++ b/internal/standin/platformstandin/platform.go
@@ -38,6 +38,7 @@
 	reads   rateWindow
 	writes  rateWindow
 	history history
+	era     uint64
 	changed chan struct{} // closed and replaced when objects or faults change
 }
 
@@ -48,6 +49,7 @@
 		objects: make(map[string]objectstore.Object),
 		faults:  f.clone(),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
+		era:     1,
 		changed: make(chan struct{}),
 	}
 }
