watchers, soak: keep the previous era while a host may become a watcher; both tier sizes

The time for which the previous era's history is kept began at the last answer of the store, which is long ago on a host behind a watcher: it was dropped at the first call that made it a watcher. It now begins at that call.

--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -46,7 +46,7 @@
 // It calls onJoined once this host is registered and has tried to read the list, and
 // after each failed registration. Hosts are never removed from the list: one that is gone
 // may come back, and too small a share breaks no bound. A store that is restored from a copy
-// loses hosts until they register again; they are kept meanwhile.
+// loses hosts until they register again; from then on, the hosts known before are kept as well.
 func (e *Entry) trackHosts(ctx context.Context, hosts Hosts, onHosts func([]watchers.Host), onJoined func()) {
 	listed := false // whether this host is on the last list that was read
 	var known knownHosts
--- a/internal/soak/era_test.go
+++ b/internal/soak/era_test.go
@@ -39,9 +39,16 @@
 
 // Guards against hosts that go on from a revision which a restored store has given out again:
 // they would send requests to a replica that has left, and be missing from the host list. The
-// store is restored twice in a row, and one host restarts meanwhile.
+// store is restored twice in a row, and one host restarts meanwhile. In the larger tier, one host
+// watches the store for the others.
 func TestStoreReturnsFromCopy(t *testing.T) {
-	f := newFleet(t, buildHost(t), sizes[1], grace)
+	binary := buildHost(t)
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size.hosts, " hosts"), func(t *testing.T) { returnFromCopy(newFleet(t, binary, size, grace)) })
+	}
+}
+
+func returnFromCopy(f *fleet) {
 	f.startTier(nil)
 	for drill := range 2 {
 		copied := time.Now()
--- a/watchers/era_test.go
+++ b/watchers/era_test.go
@@ -62,6 +62,7 @@
 	if s, err := l.changesAfter(t0, inEra(1, 30), time.Second); !errors.Is(err, errRevisionTooOld) {
 		t.Errorf("two eras later: %+v, %v, want errRevisionTooOld", s, err)
 	}
+	l.recordCall(t0, true)
 	later := t0.Add(previousEraTime + time.Second)
 	l.recordCall(later, true)
 	if s, err := l.changesAfter(later, inEra(2, 25), time.Second); !errors.Is(err, errRevisionTooOld) {
--- a/watchers/list.go
+++ b/watchers/list.go
@@ -69,11 +69,11 @@
 	history *history
 	era     uint64
 	next    uint64    // first revision that was listed in the current era
-	endedAt time.Time // as far as this host knows
+	since   time.Time // time of this host's first call to the store after that; zero before it
 }
 
-// previousEraTime is how long the previous era's history is kept: longer than hosts take to notice
-// a new era.
+// previousEraTime is how long a host that calls the store keeps the previous era's history: longer
+// than the others take to notice a new era.
 const previousEraTime = 30 * time.Second
 
 // knownOverhead is the approximate memory of a known object besides its name, in bytes.
@@ -111,7 +111,7 @@
 // leads there from the last known state.
 func (l *list) beginEra(difference []Object, at follow.Position) {
 	l.history.end(difference, l.position.Revision)
-	l.previous = &previousEra{history: l.history, era: l.position.Era, next: at.Revision, endedAt: l.lastAnswer}
+	l.previous = &previousEra{history: l.history, era: l.position.Era, next: at.Revision}
 	l.history = newHistory(l.history.maxBytes)
 	l.history.restart(at.Revision)
 }
@@ -207,9 +207,7 @@
 		}
 		l.lastAnswer = now
 		l.failingSince = time.Time{}
-		if l.previous != nil && now.Sub(l.previous.endedAt) > previousEraTime {
-			l.previous = nil
-		}
+		l.expirePrevious(now)
 		return
 	}
 	if l.failingSince.IsZero() {
@@ -217,6 +215,17 @@
 	}
 }
 
+// expirePrevious drops the previous era's history after previousEraTime. The caller holds mu.
+func (l *list) expirePrevious(now time.Time) {
+	switch {
+	case l.previous == nil:
+	case l.previous.since.IsZero():
+		l.previous.since = now
+	case now.Sub(l.previous.since) > previousEraTime:
+		l.previous = nil
+	}
+}
+
 // setRecovered records a watcher's report that the store was unavailable until at.
 func (l *list) setRecovered(at time.Time) {
 	l.mu.Lock()
