--- a/replicas/status.go
+++ b/replicas/status.go
@@ -25,6 +25,8 @@
 		return "it is registered as draining"
 	case e.run.leaving:
 		return "it said that it is leaving"
+	case e.run.returned:
+		return "it was gone before the store was restored from a copy that lists it"
 	case e.run.moved:
 		return "another replica answered at its address"
 	case out[e.DataCentre]:
