exchange, upstreamhttp: a reply with an odd status is no reply

Cause: a replica's status was not checked. Statuses from 600 on were passed on to the caller, or believed when they stated that the request had not run. Statuses below 200, 000 and 099 among them, counted as interim, so that the body of an odd reply was read as the reply and reached the caller as a 200. net/http, which the own interface uses, takes all of 100 to 199 as interim, any protocol version, and keeps the connection.

Change: only 100, 102 and 103 may come before a reply, only 200 to 599 end an exchange. Other statuses and malformed status lines are no answer: the connection is closed and the request counts as possibly run. exchange checks the bytes of the status line; the own interface checks what net/http has parsed, and the interim responses as they come. A line with two spaces before the status is refused by exchange and accepted by the own interface, since net/http doesn't show it.

--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -56,23 +55,6 @@
 	return true
 }
 
-// readResponse reads the header of the final response. It skips interim (1xx) responses.
-func readResponse(r *bufio.Reader, method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
-	for {
-		response, err := http.ReadResponse(r, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("replica switched protocols")
-		}
-	}
-}
-
 // usable reports whether an idle connection is still open and has received no bytes. Such
 // bytes would not belong to any request.
 func (c *conn) usable() bool {
--- a/upstream/upstreamhttp/client.go
+++ b/upstream/upstreamhttp/client.go
@@ -189,14 +189,18 @@
 		return response{}, errors.Wrap(err, "no free connection within the limit")
 	}
 	defer t.endRequest(pooled)
-	req, err := http.NewRequestWithContext(trace.Attach(ctx), method, targetURL(address, path), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(withInterimCheck(trace.Attach(ctx)), method, targetURL(address, path), bytes.NewReader(body))
 	if err != nil {
 		return response{}, err
 	}
 	// Without GetBody net/http can't resend the request.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	return roundTrip(pooled.client, req, c.cfg.Memory, c.cfg.MaxReplyBytes)
+	resp, err := roundTrip(pooled.client, req, c.cfg.Memory, c.cfg.MaxReplyBytes)
+	if errors.Is(err, errBadStatus) {
+		trace.CloseConnection()
+	}
+	return resp, err
 }
 
 // roundTrip sends req and reads the whole body of the response.
@@ -206,6 +210,9 @@
 		return response{}, err
 	}
 	defer resp.Body.Close()
+	if err := checkStatus(resp); err != nil {
+		return response{}, err
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return response{}, errors.New("reply has neither a length nor chunks, so a truncation can't be detected")
 	}
