callers: a connection without a whole request gives way to new ones

Cause: a caller could hold a place for a connection for as long as it liked by stopping short of the end of a body: an entry read bodies without any limit of time, closed idle connections only, and turned away new ones when all places were held; the daemon of the own interface let new connections wait in the kernel's queue. max_fds was not read, and the daemon took all of its descriptors for callers. After a refusal, the server waited for the rest of a body without limit, with the refusal unwritten. Headers were read to 256 KB whatever the configured limit, and an answer that its caller didn't take kept its memory for good.

Change: internal/callers, used by both kinds of daemons, keeps each connection's phase and decides who gives way (see docs/design/callers.md): with all places taken, the longest without a whole request; with the memory for bodies or the daemon's slots short, the body that is incomplete for longest. Callers get half of the descriptors at most. A body must be whole at its request's deadline (408, not run). An address with over half of the places takes only its own. The collector's soft limit leaves 32 MB for the program file on hosts under 107 MB, because the limit of 45 of 64 MB let the daemon reach 67 MB; copies of a query's content count in the memory of bodies. net/http's LimitListener is no longer used.

--- a/cmd/marigoldleverd/main.go
+++ b/cmd/marigoldleverd/main.go
@@ -73,7 +73,7 @@
 		klog.ErrorS(err, "Cannot start tracing")
 		return exitFailed
 	}
-	debug.SetMemoryLimit(membudget.Host(s.Limits.MemoryMB).Share(membudget.CollectorShare))
+	debug.SetMemoryLimit(membudget.Host(s.Limits.MemoryMB).CollectorLimit())
 	d, err := daemon.New(s)
 	if err != nil {
 		klog.ErrorS(err, "Cannot start the daemon")
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -20,9 +21,9 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
 
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
@@ -45,7 +46,8 @@
 	BodyTimeout        time.Duration
 	// LongestDeadline also bounds the time to write an answer.
 	LongestDeadline time.Duration
-	// Connections is the largest number of open connections.
+	// Connections is the largest number of open connections. Beyond it, those without a whole
+	// request in progress give way to new ones.
 	Connections int
 	// Memory bounds what all requests hold, from their bodies to their answers.
 	Memory *membudget.Budget
@@ -58,6 +60,7 @@
 	registry metrics.Registry
 	slots    chan struct{}
 	http     *http.Server
+	conns    atomic.Pointer[callers.Listener] // nil before Serve
 	tracer   trace.Tracer
 }
 
@@ -72,25 +75,44 @@
 		tracer:   otel.Tracer("marigoldlever/api"),
 	}
 	s.http = &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		ReadTimeout:       limits.HeaderTimeout + limits.BodyTimeout,
-		WriteTimeout:      limits.HeaderTimeout + limits.BodyTimeout + 2*limits.LongestDeadline,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Handler:        s.routes(),
+		WriteTimeout:   limits.HeaderTimeout + limits.BodyTimeout + 2*limits.LongestDeadline,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
+	limits.Memory.WhenShort(s.freeMemory)
 	return s
 }
 
 // Serve accepts connections until Shutdown is called.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, s.limits.Connections))
+	conns := callers.NewListener(l, s.limits.Connections, s.callerLimits, s.registry)
+	conns.Attach(s.http)
+	s.conns.Store(conns)
+	err := s.http.Serve(conns)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
+func (s *Server) callerLimits() callers.Limits {
+	return callers.Limits{Header: s.limits.HeaderTimeout, Body: s.limits.BodyTimeout, Idle: idleTimeout}
+}
+
+// freeMemory makes a caller give way whose large body has been incomplete for long.
+func (s *Server) freeMemory() {
+	if conns := s.conns.Load(); conns != nil {
+		conns.FreeMemory()
+	}
+}
+
+// freeSlot makes a caller give way whose body has been incomplete for long.
+func (s *Server) freeSlot() {
+	if conns := s.conns.Load(); conns != nil {
+		conns.FreeRequest()
+	}
+}
+
 // Shutdown stops accepting connections and waits for running requests.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.http.Shutdown(ctx)
@@ -124,6 +146,7 @@
 			return next(c)
 		default:
 			refused.Inc(1)
+			s.freeSlot()
 			p := NewProblem(KindOverloaded, "%d requests are running on this host", s.limits.ConcurrentRequests)
 			p.WithRetry(true, overloadRetryAfter).WithRun(runBeforeJournal(c.Request()))
 			return p
@@ -273,6 +296,13 @@
 	limit := int64(s.limits.BodyBytes)
 	body, held, err := s.limits.Memory.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength, limit)
 	memoryOf(c).Adopt(held)
+	conn := callers.FromContext(c.Request().Context())
+	if err == nil {
+		err = conn.BodyRead()
+	}
+	if conn.GaveWay() {
+		err = callers.ErrGaveWay
+	}
 	if err == nil && !utf8.Valid(body) {
 		err = errors.New("not UTF-8")
 	}
@@ -289,6 +319,8 @@
 	run := runBeforeJournal(c.Request())
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, callers.ErrGaveWay):
+		return NewProblem(KindOverloaded, "%v", err).WithRetry(true, overloadRetryAfter).WithRun(run)
 	case errors.Is(err, membudget.ErrExhausted):
 		return NewProblem(KindOverloaded, "no memory is left for the body").WithRetry(true, overloadRetryAfter).WithRun(run)
 	case errors.As(err, &tooLarge), errors.Is(err, membudget.ErrTooLarge):
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -1,8 +1,11 @@
 package api
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -125,3 +128,45 @@
 		t.Error("memory is still held after the answers")
 	}
 }
+
+// Guards against bodies that stop short of their end and hold all slots for requests: the one
+// that has been incomplete for longest gives way, and has not run.
+func TestIncompleteBodyGivesItsSlotBack(t *testing.T) {
+	limits := Limits{BodyBytes: 1024, ConcurrentRequests: 1, Connections: 10, Memory: membudget.New(1 << 20),
+		HeaderTimeout: time.Minute, BodyTimeout: time.Minute, LongestDeadline: time.Minute}
+	answering := &blockingService{started: make(chan struct{}, 1), release: make(chan struct{})}
+	close(answering.release)
+	s := NewServer(answering, limits, metrics.NewRegistry())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }() // ends with the test
+	t.Cleanup(func() { s.http.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /v1/query HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
+	client := NewClient(l.Addr().String(), 1)
+	defer client.Close()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		_, err := client.Query(t.Context(), QueryRequest{Contract: "c", Request: []byte(`{}`)})
+		if err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("an incomplete body keeps the only slot: %v", err)
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var p Problem
+	if err := json.NewDecoder(response.Body).Decode(&p); err != nil || p.Kind != KindOverloaded || p.Run != NotRun {
+		t.Errorf("the incomplete request got %+v, %v", p, err)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldlever/marigoldlever/configuration"
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/internal/api"
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/internal/lifecycle"
 	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
@@ -163,7 +164,7 @@
 	d.server = api.NewServer(d, api.Limits{
 		BodyBytes: s.Limits.BodyBytes, ConcurrentRequests: s.Limits.ConcurrentRequests,
 		HeaderTimeout: s.Limits.HeaderTimeout, BodyTimeout: s.Limits.BodyTimeout, LongestDeadline: s.Limits.LongestDeadline,
-		Connections: limit.Connections(), Memory: d.memory.content,
+		Connections: callers.Places(limit.Connections(), callers.DescriptorLimit()), Memory: d.memory.content,
 	}, d.registry)
 	d.connect()
 	return nil
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -32,3 +32,13 @@
 		releaseParts()
 	}, true
 }
+
+// copiesOf is the memory of the copies of a request's content that are sent to a number of
+// services. Small content is part of the memory of the requests at upstreams.
+func copiesOf(content, services int) int64 {
+	const smallContent = 4 << 10
+	if content <= smallContent {
+		return 0
+	}
+	return int64(content) * int64(services)
+}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -48,6 +48,9 @@
 		return api.Answer{}, api.NewProblem(api.KindOverloaded, "no memory is left for the request").WithRetry(true, noMemoryRetryAfter)
 	}
 	defer release()
+	if !q.Memory.Take(copiesOf(len(q.Request), plan.Services())) {
+		return api.Answer{}, api.NewProblem(api.KindOverloaded, "no memory is left for the request").WithRetry(true, noMemoryRetryAfter)
+	}
 	plan.AnswerTime = limit
 	plan.LatencyGoal = min(plan.LatencyGoal, limit)
 	plan.Tuning = d.tuning
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if e.settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(e.settings.memoryLimit().Share(membudget.CollectorShare))
+		debug.SetMemoryLimit(e.settings.memoryLimit().CollectorLimit())
 		debug.SetGCPercent(collectorPercent(e.settings.Cores))
 	}
 	servers, err := e.listen()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/marigoldlever/marigoldlever/drain"
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/internal/membudget"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/records"
@@ -139,7 +141,8 @@
 	return account, true
 }
 
-// readBody reads the whole body, because it may have to be sent to several replicas.
+// readBody reads the whole body, because it may have to be sent to several replicas. It must
+// arrive within the timeout of the request.
 func (e *Entry) readBody(r *http.Request, out *outcome, limit int64) (body []byte, err error) {
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -147,14 +150,27 @@
 	if limit <= 0 {
 		limit = defaultLimits.BodyBytes
 	}
+	conn := callers.FromContext(r.Context())
+	conn.LimitBody(out.started.Add(out.timeout))
 	body, out.bodyHeld, err = e.memory.bodies.ReadAll(r.Body, r.ContentLength, limit)
+	if err == nil {
+		err = conn.BodyRead()
+	}
+	if conn.GaveWay() {
+		err = callers.ErrGaveWay
+	}
 	return body, err
 }
 
 // refuseBody returns the answer to a request whose body was not read to its end.
 func refuseBody(route *routing.Route, err error) answer {
 	a := refusal(verdictMalformed, 0, "the body could not be read")
+	var timeout net.Error
 	switch {
+	case errors.Is(err, callers.ErrGaveWay):
+		a = refusal(verdictRefused, refusedRetryAfter(route), "the request has not run: "+err.Error())
+	case errors.As(err, &timeout) && timeout.Timeout():
+		a = refusal(verdictBodyTimeout, 0, "the request has not run: the body did not arrive in time")
 	case errors.Is(err, membudget.ErrTooLarge):
 		a = refusal(verdictTooLarge, 0, "the body is too large: "+err.Error())
 	case errors.Is(err, membudget.ErrExhausted):
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
@@ -15,6 +16,9 @@
 // memoryLimit returns the memory limit of this host.
 func (s Settings) memoryLimit() membudget.Host { return membudget.Host(s.MemoryMB) }
 
+// places returns the number of places for callers' connections.
+func (s Settings) places() int { return callers.Places(s.memoryLimit().Connections(), s.Sockets) }
+
 // ListBytes is the bound of one list that is read from the store.
 func (s Settings) ListBytes() int64 { return s.memoryLimit().Share(membudget.ListsShare) }
 
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/upstream"
@@ -91,7 +92,7 @@
 	if target <= 0 {
 		return timeout
 	}
-	network, known := networkTime(ctx)
+	network, known := callers.FromContext(ctx).NetworkTime()
 	if !known {
 		network = time.Duration(networkMarginShare * float64(target))
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -4,13 +4,14 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/marigoldlever/marigoldlever/internal/callers"
 	"github.com/marigoldlever/marigoldlever/routing"
 )
 
@@ -18,10 +19,6 @@
 // applies if the configuration sets none.
 var defaultLimits = routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
 
-// idleMargin is added to the idle timeout that callers are told, so that a request sent
-// just before it expires still finds the connection open.
-const idleMargin = time.Second
-
 // servers holds the HTTP servers of an entry.
 type servers struct {
 	callers *callerServer
@@ -35,7 +32,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	s.callers = newCallerServer(e, listener, e.settings.memoryLimit().Connections())
+	s.callers = newCallerServer(e, listener, e.settings.places(), e.metrics.registry)
+	e.memory.bodies.WhenShort(s.callers.conns.FreeMemory)
 	for _, address := range []string{e.settings.ReadinessAddress, e.settings.MetricsAddress} {
 		if address == "" {
 			continue
@@ -47,7 +45,7 @@
 		}
 		go serve(s.pages, listener)
 	}
-	go serve(s.callers.http, s.callers)
+	go serve(s.callers.http, s.callers.conns)
 	return s, nil
 }
 
@@ -77,130 +75,57 @@
 // callerServer serves callers with the limits of the configuration, which apply from the
 // next request of each connection on.
 type callerServer struct {
-	http     *http.Server
-	listener net.Listener
-	limits   atomic.Pointer[routing.Limits]
-
-	maxConnections int
-	mu             sync.Mutex
-	conns          map[*callerConn]struct{}
+	http   *http.Server
+	conns  *callers.Listener
+	limits atomic.Pointer[routing.Limits]
 }
 
-func newCallerServer(handler http.Handler, listener net.Listener, maxConnections int) *callerServer {
-	s := &callerServer{listener: listener, maxConnections: maxConnections, conns: map[*callerConn]struct{}{}}
+func newCallerServer(handler http.Handler, listener net.Listener, places int, registry metrics.Registry) *callerServer {
+	s := &callerServer{http: &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}}
 	s.limits.Store(&defaultLimits)
-	s.http = &http.Server{Handler: handler, ConnContext: withCallerConn, MaxHeaderBytes: maxHeaderBytes, ConnState: s.stateChanged}
+	s.conns = callers.NewListener(listener, places, s.callerLimits, registry)
+	s.conns.Attach(s.http)
 	return s
 }
 
-// Accept implements net.Listener. Beyond the largest number of connections, the one that has
-// been idle longest is closed or, if none is idle, the new one.
-func (s *callerServer) Accept() (net.Conn, error) {
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := newCallerConn(raw, s)
-		if s.add(c) {
-			return c, nil
-		}
-		_ = raw.Close() // fails only on a closed connection
-	}
-}
-
-// add registers a connection. It reports whether there is room for it.
-func (s *callerServer) add(c *callerConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.conns) >= s.maxConnections {
-		oldest := s.longestIdle()
-		if oldest == nil {
-			klog.V(1).InfoS("Too many connections of callers", "connections", len(s.conns))
-			return false
-		}
-		delete(s.conns, oldest)
-		_ = oldest.Close() // fails only on a closed connection
-	}
-	s.conns[c] = struct{}{}
-	return true
-}
-
-// longestIdle returns the connection that has been idle longest, nil if none is. The caller
-// holds mu.
-func (s *callerServer) longestIdle() *callerConn {
-	var oldest *callerConn
-	var since time.Time
-	for c := range s.conns {
-		if at, ok := c.idleSince(); ok && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
-		}
-	}
-	return oldest
-}
-
-// Close implements net.Listener.
-func (s *callerServer) Close() error { return s.listener.Close() }
-
-// Addr implements net.Listener.
-func (s *callerServer) Addr() net.Addr { return s.listener.Addr() }
-
-// stateChanged is the server's ConnState function.
-func (s *callerServer) stateChanged(c net.Conn, state http.ConnState) {
-	conn, ok := c.(*callerConn)
-	if !ok {
-		return
-	}
-	if state == http.StateClosed {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.conns, conn)
-		return
-	}
-	conn.stateChanged(state)
+// callerLimits returns the limits for all callers. The time for a body depends on its request.
+func (s *callerServer) callerLimits() callers.Limits {
+	limits := s.limits.Load()
+	return callers.Limits{HeaderBytes: limits.HeaderBytes, Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 }
 
 // setLimits applies the limits of a configuration version.
 func (s *callerServer) setLimits(l routing.Limits) {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultLimits.HeaderBytes
+	}
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultLimits.HeaderTimeout
 	}
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = defaultLimits.IdleTimeout
 	}
-	if l == s.currentLimits() {
+	if l == *s.limits.Load() {
 		return
 	}
 	s.limits.Store(&l)
-	s.mu.Lock()
-	for c := range s.conns {
-		c.limitsChanged()
-	}
-	s.mu.Unlock()
+	s.conns.LimitsChanged()
 	klog.InfoS("Caller limits changed", "headerBytes", l.HeaderBytes, "bodyBytes", l.BodyBytes,
 		"headerTimeout", l.HeaderTimeout, "idleTimeout", l.IdleTimeout)
 }
 
-func (s *callerServer) currentLimits() routing.Limits { return *s.limits.Load() }
-
 // shutDown closes the listener and the idle connections, and each of the others after its
 // answer. It waits for them until ctx ends, but not for connections that have carried no
 // byte.
 func (s *callerServer) shutDown(ctx context.Context) {
-	s.mu.Lock()
-	for c := range s.conns {
-		if c.isSilent() {
-			_ = c.Close() // fails only on a closed connection
-		}
-	}
-	s.mu.Unlock()
+	s.conns.CloseSilent()
 	if err := s.http.Shutdown(ctx); err != nil {
 		klog.V(1).InfoS("Connections of callers were still in use", "err", err)
 	}
 }
 
 func (s *callerServer) close() {
-	_ = s.listener.Close() // fails only on a closed listener
+	_ = s.conns.Close() // fails only on a closed listener
 	if err := s.http.Close(); err != nil {
 		klog.V(1).InfoS("Failed to close the server of callers", "err", err)
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -23,6 +23,7 @@
 	StoreAddress     string
 	Cores            float64 // CPU seconds per second; 0 if not known
 	MemoryMB         int
+	Sockets          int     // descriptors that sockets may take; 0 if not known
 	LinkMbps         float64 // bandwidth of this host's link in Mbit/s; 0 if not known
 
 	Bounds Bounds
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -90,13 +90,14 @@
 
 // Verdicts of requests that were not routed. They are never sent to a replica.
 var (
-	verdictMalformed = &verdict{"malformed", http.StatusBadRequest, "a request that can't be read is the caller's fault"}
-	verdictNoRoute   = &verdict{"no_route", http.StatusNotFound, "no version of the configuration in force has a route"}
-	verdictNoAccount = &verdict{"no_account", http.StatusUnauthorized, "no account of the version in force has the caller's key"}
-	verdictHeader    = &verdict{"header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the header exceeds the limit of the configuration"}
-	verdictTooLarge  = &verdict{"too_large", http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration"}
-	verdictNotReady  = &verdict{"not_ready", http.StatusServiceUnavailable, "a host that knows no configuration has sent nothing"}
-	verdictLeaving   = &verdict{"leaving", http.StatusServiceUnavailable, "a host that may not outlast the request has sent nothing"}
+	verdictMalformed   = &verdict{"malformed", http.StatusBadRequest, "a request that can't be read is the caller's fault"}
+	verdictNoRoute     = &verdict{"no_route", http.StatusNotFound, "no version of the configuration in force has a route"}
+	verdictNoAccount   = &verdict{"no_account", http.StatusUnauthorized, "no account of the version in force has the caller's key"}
+	verdictHeader      = &verdict{"header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the header exceeds the limit of the configuration"}
+	verdictBodyTimeout = &verdict{"body_timeout", http.StatusRequestTimeout, "a request whose body is not whole at its deadline has not been sent"}
+	verdictTooLarge    = &verdict{"too_large", http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration"}
+	verdictNotReady    = &verdict{"not_ready", http.StatusServiceUnavailable, "a host that knows no configuration has sent nothing"}
+	verdictLeaving     = &verdict{"leaving", http.StatusServiceUnavailable, "a host that may not outlast the request has sent nothing"}
 )
 
 // Verdicts of requests that were routed.
--- a/internal/membudget/host.go
+++ b/internal/membudget/host.go
@@ -12,6 +12,9 @@
 	// CollectorShare is the garbage collector's soft limit: above it, the collector runs more
 	// often.
 	CollectorShare = 0.7
+	// programBytes are left for what the collector doesn't see: the program file, stacks of the
+	// operating system's threads and its own state.
+	programBytes = 32 << 20
 	// ReplyShare bounds one reply, and RepliesShare all large ones together.
 	ReplyShare   = 1.0 / 32
 	RepliesShare = 1.0 / 8
@@ -49,6 +52,13 @@
 	return int64(share * float64(limit) * megabyte)
 }
 
+// CollectorLimit is the soft limit of the garbage collector in bytes. It is at least half of the
+// host's memory.
+func (h Host) CollectorLimit() int64 {
+	whole := h.Share(1)
+	return max(min(h.Share(CollectorShare), whole-programBytes), whole/2)
+}
+
 // Connections is the largest number of callers' connections.
 func (h Host) Connections() int {
 	return max(int(h.Share(ConnectionsShare)/connectionBytes), minConnections)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -10,17 +10,30 @@
 
 // Budget is a number of bytes that its users share. It is safe for concurrent use.
 type Budget struct {
-	size int64
-	used atomic.Int64
+	size  int64
+	used  atomic.Int64
+	short func() // nil if nothing can be freed
 }
 
 // New returns a budget of size bytes.
 func New(size int64) *Budget { return &Budget{size: size} }
 
+// shortShare is the share of a budget above which it is short.
+const shortShare = 0.75
+
+// WhenShort sets a function that is called with each reservation while the budget is short,
+// and that makes users give back what they hold without need. It must be called before the
+// first reservation; the function must not call the budget.
+func (b *Budget) WhenShort(free func()) { b.short = free }
+
 // Reserve takes bytes of the budget. It reports whether they were left; if not, it takes
 // nothing.
 func (b *Budget) Reserve(bytes int64) bool {
-	if b.used.Add(bytes) <= b.size {
+	used := b.used.Add(bytes)
+	if b.short != nil && used > int64(shortShare*float64(b.size)) {
+		b.short()
+	}
+	if used <= b.size {
 		return true
 	}
 	b.used.Add(-bytes)
