callers: the server's own deadline for answers stays in force

Cause: the connection's limit for 64 KB of an answer replaced the daemon's deadline for the whole answer, so that a caller could take 30 s for each 64 KB of it.

Change: the earlier of both applies.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -64,8 +64,10 @@
 	// writingSince is when the write in progress began, in Unix nanoseconds; 0 if there is
 	// none.
 	writingSince atomic.Int64
-	headerBytes  atomic.Int64 // of the header that is being read
-	bodyBytes    atomic.Int64 // of the body that is being read
+	// writeLimit is the server's deadline for writing, in Unix nanoseconds; 0 if there is none.
+	writeLimit  atomic.Int64
+	headerBytes atomic.Int64 // of the header that is being read
+	bodyBytes   atomic.Int64 // of the body that is being read
 
 	mu        sync.Mutex
 	phase     phase
@@ -239,7 +241,11 @@
 	for {
 		now := time.Now()
 		c.writingSince.Store(now.UnixNano())
-		if err := c.Conn.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		deadline := now.Add(writeTimeout)
+		if limit := c.writeLimit.Load(); limit != 0 && limit < deadline.UnixNano() {
+			deadline = time.Unix(0, limit)
+		}
+		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[:min(len(p), writeBytes)])
@@ -250,6 +256,16 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	limit := int64(0)
+	if !t.IsZero() {
+		limit = t.UnixNano()
+	}
+	c.writeLimit.Store(limit)
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // SetReadDeadline implements net.Conn. The server sets deadlines only for its own purposes
 // while a request is in progress; at all other times the limits decide.
 func (c *Conn) SetReadDeadline(t time.Time) error {
--- a/internal/crowd/daemon_test.go
+++ b/internal/crowd/daemon_test.go
@@ -54,7 +54,7 @@
 }
 
 // startDaemon starts a daemon with its platform and upstreams, and waits until it serves.
-func startDaemon(t *testing.T, binary string) *daemonHost {
+func startDaemon(t *testing.T) *daemonHost {
 	t.Helper()
 	platform := platformstandin.New(1, platformstandin.Faults{})
 	server := httptest.NewServer(platform.Handler())
@@ -179,7 +179,7 @@
 // TestDaemonServesBesideACrowd guards the daemon of the own interface against the callers of
 // TestEntryServesBesideACrowd.
 func TestDaemonServesBesideACrowd(t *testing.T) {
-	h := startDaemon(t, buildDaemon(t))
+	h := startDaemon(t)
 	limit := bounds{memoryMB: memoryMB, descriptors: descriptors{all: descriptorLimit - freeDescriptors, sockets: descriptorLimit - freeDescriptors}}
 	for _, kind := range bodyKinds {
 		t.Run(kind.name, func(t *testing.T) {
--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -137,7 +137,7 @@
 }
 
 // startEntry starts an entry and waits until it is ready.
-func startEntry(t *testing.T, binary string) *entryHost {
+func startEntry(t *testing.T) *entryHost {
 	t.Helper()
 	r := &replica{}
 	replicaServer := httptest.NewServer(r)
@@ -226,11 +226,10 @@
 // TestEntryServesBesideACrowd guards against callers that make an entry run out of memory or
 // descriptors, or hold all places for connections, without asking a whole request.
 func TestEntryServesBesideACrowd(t *testing.T) {
-	binary := buildDaemon(t)
 	limit := bounds{memoryMB: memoryMB, descriptors: descriptors{all: maxDescriptors, sockets: maxDescriptors - fileDescriptors}}
 	for _, kind := range bodyKinds {
 		t.Run(kind.name, func(t *testing.T) {
-			h := startEntry(t, binary)
+			h := startEntry(t)
 			c := h.playCrowd(t, h.target(), kind, limit, func(t *testing.T) {
 				awaitAnswer(t, "without a body", func(id string) error {
 					return h.ask("GET /one/x", "", 0, 0, tryLimit, id)
@@ -252,7 +251,7 @@
 // Guards against limits that a caller meets who sends the largest body, slowly, to an entry that
 // has nothing else to do.
 func TestEntryTakesASlowBodyInCalm(t *testing.T) {
-	h := startEntry(t, buildDaemon(t))
+	h := startEntry(t)
 	const pieces, pause, limit = 40, 100 * time.Millisecond, 30 * time.Second
 	if err := h.ask("POST /once/x", strings.Repeat("b", bodyLimit), bodyLimit/pieces, pause, limit, "slow"); err != nil {
 		t.Error(err)
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -44,14 +44,27 @@
 	return text[max(0, len(text)-tailBytes):]
 }
 
-// buildDaemon builds the program of both kinds of daemons.
-func buildDaemon(t *testing.T) string {
-	t.Helper()
-	binary := filepath.Join(t.TempDir(), "marigoldleverd")
+// binary is the program of both kinds of daemons.
+var binary string
+
+// TestMain builds the program once for all tests.
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "crowd")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	binary = filepath.Join(directory, "marigoldleverd")
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/marigoldleverd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
 	}
-	return binary
+	return m.Run()
 }
 
 // startProcess starts a command, which is killed at the end of the test.
