rollout: decisions of a roll-out, without I/O

A grant is a number of sends, so that the bound on the exposure holds whatever messages are lost and whichever hosts start, stop or freeze.

--- /dev/null
+++ b/rollout/host.go
@@ -0,0 +1,488 @@
+package rollout
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/marigoldlever/marigoldlever/replicas"
+)
+
+// standing is what a host knows of a version of a service apart from undecided orders.
+type standing int
+
+const (
+	// settled versions get requests like all others.
+	settled standing = iota
+	// arrived versions were registered a short time ago. They get requests only if the
+	// service has no other replica, because an order for them may follow.
+	arrived
+	// withdrawn versions were named by an order that was removed before it was decided.
+	// They are treated like arrived ones, for any time.
+	withdrawn
+	// refused versions were rolled back or replaced. They get nothing until a new order.
+	refused
+)
+
+const (
+	// maxServices and maxVersions of each bound what is kept, whatever the store lists.
+	maxServices = 20_000
+	maxVersions = 64
+)
+
+// version is a version of a service.
+type version struct {
+	standing  standing
+	arrivedAt time.Time
+}
+
+// service is a service of which replicas or orders are known.
+type service struct {
+	versions map[string]*version
+	orders   []Order // undecided, the oldest first; only the first is carried out
+	trial    *trial  // of the first order; nil if there is none
+	plain    bool    // all versions are settled and there is no order
+}
+
+// Host decides which replicas may get requests from this host.
+type Host struct {
+	cfg      Config
+	id       string
+	run      uint64
+	services map[string]*service
+	orders   map[string]Order // by name of the object, decided ones included
+	applied  map[OrderID]State
+	// listed is set once the replicas were listed: versions seen later are new.
+	listed bool
+	// ordersSince is since when the list of orders has been kept up to date; zero if it is
+	// not.
+	ordersSince time.Time
+}
+
+// NewHost returns the state of a host. Run must differ for each run of its process.
+func NewHost(cfg Config, id string, run uint64) *Host {
+	return &Host{cfg: cfg, id: id, run: run, services: map[string]*service{}, orders: map[string]Order{}, applied: map[OrderID]State{}}
+}
+
+func (h *Host) service(name string) *service {
+	s := h.services[name]
+	if s == nil {
+		s = &service{versions: map[string]*version{}, plain: true}
+		h.services[name] = s
+	}
+	return s
+}
+
+// SeeReplica records that a replica is registered. New versions are withheld once the
+// replicas were listed.
+func (h *Host) SeeReplica(now time.Time, serviceName, versionName string) {
+	if h.services[serviceName] == nil && len(h.services) >= maxServices {
+		return
+	}
+	s := h.service(serviceName)
+	if s.versions[versionName] != nil || len(s.versions) >= maxVersions {
+		return
+	}
+	v := &version{standing: settled, arrivedAt: now}
+	if len(s.versions) > 0 && (h.listed || s.decided()) {
+		v.standing = arrived
+	}
+	s.versions[versionName] = v
+	s.updatePlain()
+}
+
+// SetListed records that all registered replicas have been seen.
+func (h *Host) SetListed() { h.listed = true }
+
+// decided reports whether a version was refused, so that others need not be in service.
+func (s *service) decided() bool {
+	for _, v := range s.versions {
+		if v.standing == refused {
+			return true
+		}
+	}
+	return false
+}
+
+// SetOrdersAvailable records whether the list of orders is kept up to date. New versions
+// settle only while it is.
+func (h *Host) SetOrdersAvailable(now time.Time, available bool) {
+	h.ordersSince = time.Time{}
+	if available {
+		h.ordersSince = now
+	}
+}
+
+// SetOrders replaces all orders.
+func (h *Host) SetOrders(now time.Time, orders []Order) {
+	listed := map[string]bool{}
+	for _, o := range orders {
+		listed[o.Name] = true
+	}
+	for name := range h.orders {
+		if !listed[name] {
+			h.RemoveOrder(now, name)
+		}
+	}
+	for _, o := range orders {
+		h.PutOrder(now, o)
+	}
+}
+
+// PutOrder adds or updates an order.
+func (h *Host) PutOrder(now time.Time, o Order) {
+	before, known := h.orders[o.Name]
+	if known && o.Revision < before.Revision {
+		return
+	}
+	h.orders[o.Name] = o
+	if known && before.OrderID != o.OrderID {
+		h.withdraw(before)
+		h.arrange(now, before.Service)
+	}
+	h.apply(&o)
+	h.arrange(now, o.Service)
+}
+
+// RemoveOrder removes an order. Its version gets nothing more unless it was decided.
+func (h *Host) RemoveOrder(now time.Time, name string) {
+	if o, known := h.orders[name]; known {
+		delete(h.orders, name)
+		h.withdraw(o)
+		h.arrange(now, o.Service)
+	}
+}
+
+// withdraw ends an order that was removed or changed. Without an order, an undecided version
+// is as new as before.
+func (h *Host) withdraw(o Order) {
+	s := h.service(o.Service)
+	v := s.versions[o.Version]
+	if _, decided := h.applied[o.OrderID]; !decided && v != nil && v.standing == arrived {
+		v.standing = withdrawn
+	}
+	delete(h.applied, o.OrderID)
+	if s.trial != nil && s.trial.order.OrderID == o.OrderID {
+		s.trial = nil
+	}
+}
+
+// apply carries out the final state of an order, once.
+func (h *Host) apply(o *Order) {
+	state, decided := o.Decided()
+	if !decided || h.applied[o.OrderID] == state {
+		return
+	}
+	h.applied[o.OrderID] = state
+	s := h.service(o.Service)
+	target := s.version(o.Version)
+	if state == RolledBack {
+		target.standing = refused
+		return
+	}
+	for _, v := range s.versions {
+		v.standing = refused
+	}
+	target.standing = settled
+}
+
+func (s *service) version(name string) *version {
+	if s.versions[name] == nil {
+		s.versions[name] = &version{standing: arrived}
+	}
+	return s.versions[name]
+}
+
+// arrange brings the undecided orders of a service up to date.
+func (h *Host) arrange(now time.Time, name string) {
+	s := h.service(name)
+	s.orders = s.orders[:0]
+	for _, o := range h.orders {
+		if _, decided := o.Decided(); !decided && o.Service == name {
+			s.orders = append(s.orders, o)
+		}
+	}
+	slices.SortFunc(s.orders, compareOrders)
+	s.updateTrial(now, h.cfg.grantLifetime())
+	s.updatePlain()
+}
+
+// updateTrial begins the trial of the first order, or ends the one that is over.
+func (s *service) updateTrial(now time.Time, lifetime time.Duration) {
+	switch {
+	case len(s.orders) == 0:
+		s.trial = nil
+	case s.trial == nil || s.trial.order.OrderID != s.orders[0].OrderID:
+		s.trial = newTrial(now, s.orders[0], lifetime)
+		if v := s.version(s.orders[0].Version); v.standing == refused {
+			v.standing = withdrawn // a new order gives it another chance
+		}
+	default:
+		s.trial.order = s.orders[0]
+	}
+}
+
+func (s *service) updatePlain() {
+	s.plain = len(s.orders) == 0
+	for _, v := range s.versions {
+		s.plain = s.plain && v.standing == settled
+	}
+}
+
+// admission is what a version may get.
+type admission int
+
+const (
+	like    admission = iota // requests like all others
+	spare                    // requests only if there is no other replica
+	granted                  // granted requests only
+	none                     // no requests
+)
+
+// admits returns what a version of the service may get now.
+func (h *Host) admits(now time.Time, s *service, name string) admission {
+	v := s.versions[name]
+	if t := s.trial; t != nil {
+		switch {
+		case name == t.order.Version && t.open():
+			return like
+		case name == t.order.Version && !s.onlySettled(name):
+			return granted
+		case t.open():
+			return none
+		}
+	}
+	if s.ordered(name) && !s.onlySettled(name) {
+		return none
+	}
+	switch {
+	case v == nil && len(s.versions) >= maxVersions:
+		return spare
+	case v == nil || v.standing == settled:
+		return like
+	case v.standing == refused:
+		return none
+	case v.standing == arrived && h.settles(now, v):
+		v.standing = settled
+		s.updatePlain()
+		return like
+	}
+	return spare
+}
+
+// settles reports whether an arrived version has waited long enough for an order.
+func (h *Host) settles(now time.Time, v *version) bool {
+	if h.ordersSince.IsZero() {
+		return false
+	}
+	since := v.arrivedAt
+	if h.ordersSince.After(since) {
+		since = h.ordersSince
+	}
+	return now.Sub(since) >= h.cfg.SettleTime
+}
+
+// ordered reports whether an undecided order names a version.
+func (s *service) ordered(name string) bool {
+	return slices.ContainsFunc(s.orders, func(o Order) bool { return o.Version == name })
+}
+
+// onlySettled reports whether a version is the only one in service, so that an order for it
+// moves nothing.
+func (s *service) onlySettled(name string) bool {
+	for n, v := range s.versions {
+		if (n == name) != (v.standing == settled) {
+			return false
+		}
+	}
+	return s.versions[name] != nil
+}
+
+// outlasts reports whether a replica of an old version that was chosen before the switch may
+// still get the request.
+func (s *service) outlasts(now time.Time, name string) bool {
+	v := s.versions[name]
+	return s.trial != nil && s.trial.inGrace(now) && v != nil && v.standing == settled
+}
+
+// Choose returns the candidates of a service that may get a request now. If tryFirst is set,
+// the first of them has the version under roll-out and should be tried before the others.
+func (h *Host) Choose(now time.Time, serviceName string, candidates []replicas.Candidate) (chosen []replicas.Candidate, tryFirst bool) {
+	s := h.services[serviceName]
+	if s == nil || s.plain {
+		return candidates, false
+	}
+	var spares []replicas.Candidate
+	var tried *replicas.Candidate
+	for i, c := range candidates {
+		switch h.admits(now, s, c.Version) {
+		case like:
+			chosen = append(chosen, c)
+		case spare:
+			spares = append(spares, c)
+		case granted:
+			if s.trial.balance(now) > 0 && c.Pause == 0 && (tried == nil || h.triedBefore(c, *tried)) {
+				tried = &candidates[i]
+			}
+		}
+	}
+	if len(chosen) == 0 {
+		chosen = spares
+	}
+	if tried != nil {
+		return append([]replicas.Candidate{*tried}, chosen...), true
+	}
+	return chosen, false
+}
+
+// triedBefore is the order in which replicas of a version under roll-out are tried. All hosts
+// of a data centre try the same replica, so that a few requests load it as many will later.
+func (h *Host) triedBefore(a, b replicas.Candidate) bool {
+	rank := func(c replicas.Candidate) int {
+		n := 0
+		if c.ColdNow {
+			n += 2
+		}
+		if c.DataCentre != h.cfg.LocalDataCentre {
+			n++
+		}
+		return n
+	}
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(hash(a.ID), hash(b.ID)), cmp.Compare(a.ID, b.ID)) < 0
+}
+
+func hash(parts ...string) uint64 {
+	f := fnv.New64a()
+	for _, p := range parts {
+		_, _ = f.Write([]byte(p)) // never fails
+		_, _ = f.Write([]byte{0})
+	}
+	return f.Sum64()
+}
+
+// Pass is the permission for one request.
+type Pass struct {
+	trial *trial
+	new   bool // to the version under roll-out
+}
+
+// Exposes reports whether the request goes to the version under roll-out.
+func (p Pass) Exposes() bool { return p.new }
+
+// Admit permits a request to a replica right before it is sent, and takes a granted send if it
+// needs one. SpareAllowed tells whether the service has no other replica. Each pass must be
+// handed to Finish.
+func (h *Host) Admit(now time.Time, serviceName, versionName string, spareAllowed func() bool) (Pass, bool) {
+	s := h.services[serviceName]
+	if s == nil || s.plain {
+		return Pass{}, true
+	}
+	t := s.trial
+	switch h.admits(now, s, versionName) {
+	case none:
+		if !s.outlasts(now, versionName) {
+			return Pass{}, false
+		}
+	case spare:
+		if !spareAllowed() {
+			return Pass{}, false
+		}
+	case granted:
+		if t.balance(now) == 0 {
+			return Pass{}, false
+		}
+		t.spent++
+	}
+	if t == nil {
+		return Pass{}, true
+	}
+	p := Pass{trial: t, new: versionName == t.order.Version}
+	t.requests++
+	if !p.new {
+		t.oldInFlight++
+	}
+	return p, true
+}
+
+// Permits reports whether a request that was admitted may still be sent.
+func (h *Host) Permits(now time.Time, serviceName, versionName string) bool {
+	s := h.services[serviceName]
+	if s == nil || s.plain {
+		return true
+	}
+	switch h.admits(now, s, versionName) {
+	case none:
+		return s.outlasts(now, versionName)
+	case granted:
+		return s.trial.mayTry(now)
+	}
+	return true
+}
+
+// Finish records how an admitted request ended.
+func (h *Host) Finish(p Pass, route string, r Result, latency time.Duration) {
+	if p.trial != nil {
+		p.trial.finish(p, route, r, latency)
+	}
+}
+
+// Trials returns the orders that are being carried out, the oldest first.
+func (h *Host) Trials() []Order {
+	var orders []Order
+	for _, s := range h.services {
+		if s.trial != nil {
+			orders = append(orders, s.trial.order)
+		}
+	}
+	slices.SortFunc(orders, compareOrders)
+	return orders
+}
+
+// Report returns this host's report on an order, or false if it isn't being carried out.
+func (h *Host) Report(now time.Time, id OrderID) (Report, bool) {
+	t := h.trialOf(id)
+	if t == nil {
+		return Report{}, false
+	}
+	r := t.report(now)
+	r.Host, r.Run = h.id, h.run
+	return r, true
+}
+
+// HandleReply applies the reply to a report that was sent at a time. It returns the phase
+// that the roll-out enters, or an empty one if that is unchanged.
+func (h *Host) HandleReply(now, sentAt time.Time, r Reply) (entered Phase) {
+	t := h.trialOf(r.Order)
+	if t == nil {
+		return ""
+	}
+	before := t.phase
+	t.handle(now, sentAt, r)
+	if t.phase == before {
+		return ""
+	}
+	return t.phase
+}
+
+// Quiet returns for how long no leader of an order has replied to this host.
+func (h *Host) Quiet(now time.Time, id OrderID) time.Duration {
+	t := h.trialOf(id)
+	if t == nil {
+		return 0
+	}
+	return now.Sub(t.heardOrBegan())
+}
+
+// Alone reports whether a version is the only one of a service in service.
+func (h *Host) Alone(serviceName, versionName string) bool {
+	return h.service(serviceName).onlySettled(versionName)
+}
+
+func (h *Host) trialOf(id OrderID) *trial {
+	s := h.services[id.Service]
+	if s == nil || s.trial == nil || s.trial.order.OrderID != id {
+		return nil
+	}
+	return s.trial
+}
