replicas: the version that a replica registers

Cause: decodeReplica dropped the version, and the settings' bounds on roll-outs were not read.

Settings hold the bounds on the exposure to a new version; without them versions are ignored. A reply says how long its exchange took without the time to get a connection, which says nothing about a version.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -51,8 +51,19 @@
 	// service's rate times the factor, plus the slack.
 	ColdFactor float64
 	ColdSlack  float64
+	// ExposureShare and ExposureSlack limit the requests to a version under roll-out:
+	// ExposureShare of the requests to its service, plus ExposureSlack. Without them, the
+	// versions of replicas are ignored.
+	ExposureShare float64
+	ExposureSlack float64
+	// RollbackTime is the time within which a bad version must get nothing more.
+	RollbackTime time.Duration
 }
 
+// RolloutsInForce reports whether the operators bound the exposure to a new version, and order
+// roll-outs.
+func (b Bounds) RolloutsInForce() bool { return b.ExposureShare > 0 || b.ExposureSlack > 0 }
+
 // watchMargin is reserved within ContactTime for a late answer and the calls that
 // follow.
 const watchMargin = time.Second
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -31,6 +31,7 @@
 	Service    string
 	Address    string // "ip:port"
 	DataCentre string
+	Version    string // of the replica's software
 	Slots      int
 	Draining   bool
 	// Cold is how long the replica stays cold from the time its entry is received.
@@ -59,7 +60,7 @@
 
 // size is the approximate memory of the entry, in bytes.
 func (r *Replica) size() int {
-	return entryOverhead + len(r.ID) + len(r.Service) + len(r.Address) + len(r.DataCentre)
+	return entryOverhead + len(r.ID) + len(r.Service) + len(r.Address) + len(r.DataCentre) + len(r.Version)
 }
 
 // entry is a registered replica.
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -68,6 +68,8 @@
 	MalformedPause string
 	// Load is the replica's own load report. Load.Slots is 0 if there is none.
 	Load admission.Load
+	// Elapsed is the time from sending the request on its connection to the reply.
+	Elapsed time.Duration
 }
 
 // Codec encodes requests and decodes replies with the header names of a protocol.
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -109,6 +109,7 @@
 	}
 	started := time.Now()
 	reply, keep, err := p.roundTrip(ctx, conn, c)
+	reply.Elapsed = time.Since(started)
 	if errors.Is(err, upstream.ErrTimeout) {
 		p.suspectIdle(c.Destination, started)
 	}
