entry: roll-outs are carried out

Change: the store's orders are followed like the other lists, with their status; candidates, sends and results pass through rollout.Host. One host leads each order, with a record in the store that is written on condition of its revision; the others report to it over peer and get their grants in the reply. The leader writes the order's status on condition of the revision that it has read. A host that stops gives up the lead. Where the settings bound no exposure, nothing is followed, reported or decided.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -18,6 +18,7 @@
 	"github.com/marigoldlever/marigoldlever/internal/signals"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/rollout"
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
@@ -72,17 +73,22 @@
 		klog.ErrorS(err, "Object can't be used", "kind", kind, "name", name)
 	}
 	e := entry.New(s, platform.Codec{}, registry, rand.Uint64())
+	e.EnableRollouts(node, store, rand.Uint64())
 	if s.PeerAddress != "" {
 		e.EnableOffload(node)
 		if err := node.Listen(s.PeerAddress); err != nil {
 			klog.ErrorS(err, "Cannot listen for calls of other hosts", "address", s.PeerAddress)
 		}
 	}
+	var rollouts follow.Source[rollout.Order]
+	if s.Bounds.RolloutsInForce() {
+		rollouts = store.Rollouts(newSource, logSkipped)
+	}
 	stop := make(chan struct{})
 	go watchSettings(path, loaded, e, signals.Caught(), stop)
 	cutOff, end, err := e.Run(context.Background(), stop, entry.Sources{
 		Configuration: store.Configuration(newSource, logSkipped), Replicas: store.Replicas(newSource, logSkipped),
-		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Hosts: store, OnHosts: group.SetHosts,
+		DataCentresOut: store.DataCentresOut(newSource, logSkipped), Rollouts: rollouts, Hosts: store, OnHosts: group.SetHosts,
 	})
 	if err != nil {
 		klog.ErrorS(err, "Cannot run the entry host")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldlever/marigoldlever/internal/wait"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/replicas"
+	"github.com/marigoldlever/marigoldlever/rollout"
 	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 	"github.com/marigoldlever/marigoldlever/watchers"
@@ -53,7 +54,10 @@
 	Configuration  follow.Source[*routing.Table]
 	Replicas       follow.Source[replicas.Replica]
 	DataCentresOut follow.Source[struct{}]
-	Hosts          Hosts
+	// Rollouts are the operator's orders to roll out versions; nil if EnableRollouts was not
+	// called.
+	Rollouts follow.Source[rollout.Order]
+	Hosts    Hosts
 	// OnHosts is called with each list of hosts that was read.
 	OnHosts func([]watchers.Host)
 }
@@ -76,6 +80,7 @@
 	shares     *shares
 	overload   *overload
 	memory     memory
+	rollouts   *rollouts  // nil if roll-outs are not in force
 	offload    *offloader // nil if this host does all requests itself
 }
 
@@ -139,8 +144,12 @@
 	if e.offload != nil {
 		group.Go(func() { wait.Every(ctx, aliveInterval, func(time.Time) { e.offload.tick(ctx) }) })
 	}
+	if e.rollouts != nil {
+		group.Go(func() { e.rollouts.runUntil(ctx) })
+	}
 	group.Go(func() { wait.Every(ctx, reachTick, func(now time.Time) { e.reach.tick(ctx, now) }) })
 	<-stop
+	e.rollouts.resign()
 	cutOff, end = e.stop(ctx, servers)
 	cancel()
 	waitUntil(&group, end)
@@ -159,6 +168,11 @@
 	group.Go(func() {
 		follow.Run(ctx, followConfig, sources.DataCentresOut, outSink{listLog{"data centres out"}, e.view})
 	})
+	if e.rollouts != nil && sources.Rollouts != nil {
+		group.Go(func() {
+			follow.Run(ctx, followConfig, sources.Rollouts, orderSink{listLog{"roll-outs"}, e.view, e.rollouts})
+		})
+	}
 	group.Wait()
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -276,7 +276,7 @@
 	plan := e.plan(request.ID, route, services, timeout)
 	plan.LatencyGoal = latencyGoal + plan.Tuning.FinishMargin
 	plan.Tuning.MaxTries -= out.tries
-	out.sender = newSender(e, request, plan.AtMostOnce, len(route.Shards))
+	out.sender = newSender(e, route.Name, request, plan.AtMostOnce, len(route.Shards))
 	finish, err := e.scatter.Run(ctx, out.sender, plan, nil, nil)
 	if err != nil {
 		return finish, err
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -154,7 +154,8 @@
 	dataCentresOut     *storeList[struct{}]
 	shards             []*shard
 	metrics            metrics.Registry
-	node               *peer.Node // nil if the entry has no peer address
+	rollouts           *rolloutStore // nil if roll-outs are not in force
+	node               *peer.Node    // nil if the entry has no peer address
 	peerAddress        string
 	grace              time.Duration
 	memoryMB           int   // 0 for the usual one
@@ -210,20 +211,31 @@
 		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness, MemoryMB: tr.memoryMB,
 		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
 	}
+	if tr.rollouts != nil {
+		settings.Bounds.ExposureShare, settings.Bounds.ExposureSlack = testExposureShare, testExposureSlack
+		settings.Bounds.ConfigurationTime = 3 * time.Second
+	}
 	e := entry.New(settings, platform.Codec{}, tr.metrics, 1)
 	if self.Address != "" {
 		tr.peerAddress = self.Address
 		tr.node = peer.NewNode(peer.Config{Advertise: self.Address})
 		e.EnableOffload(tr.node)
+		if tr.rollouts != nil {
+			e.EnableRollouts(tr.node, tr.rollouts, 1)
+		}
 		if err := tr.node.Listen(self.Address); err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = tr.node.Close(context.Background()) })
 	}
+	sources := entry.Sources{
+		Configuration: tr.configuration, Replicas: tr.replicas, DataCentresOut: tr.dataCentresOut, Hosts: list, OnHosts: ignoreHosts,
+	}
+	if tr.rollouts != nil {
+		sources.Rollouts = tr.rollouts.orders
+	}
 	go func() {
-		aborted, _, err := e.Run(context.Background(), tr.stop, entry.Sources{
-			Configuration: tr.configuration, Replicas: tr.replicas, DataCentresOut: tr.dataCentresOut, Hosts: list, OnHosts: ignoreHosts,
-		})
+		aborted, _, err := e.Run(context.Background(), tr.stop, sources)
 		if err != nil {
 			t.Error(err)
 		}
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -16,6 +16,7 @@
 // sender sends the attempts of one request. It implements scatter.Sender.
 type sender struct {
 	entry   *Entry
+	route   string
 	request *exchange.Request
 	// atMostOnce is set for requests that must not run twice.
 	atMostOnce bool
@@ -36,9 +37,9 @@
 	slowestTime time.Duration
 }
 
-func newSender(e *Entry, request *exchange.Request, atMostOnce bool, parts int) *sender {
+func newSender(e *Entry, route string, request *exchange.Request, atMostOnce bool, parts int) *sender {
 	return &sender{
-		entry: e, request: request, atMostOnce: atMostOnce, parts: parts > 0,
+		entry: e, route: route, request: request, atMostOnce: atMostOnce, parts: parts > 0,
 		cancels: make(map[string]context.CancelFunc, parts+1), replies: make(map[string]exchange.Reply, parts+1),
 		causes: make(map[string]int),
 	}
@@ -136,12 +137,12 @@
 // exchange sends the request if the replica may still get it.
 func (s *sender) exchange(ctx context.Context, a scatter.Attempt) (exchange.Reply, error) {
 	v := s.entry.view
-	replica, lapsed, p := v.permit(time.Now(), a.Replica, s.entry.coldShare)
+	replica, p := v.permit(time.Now(), a.Replica, s.entry.coldShare)
 	if err := permissionError(p, a.Replica); err != nil {
 		return exchange.Reply{}, err
 	}
 	run := replica.Incarnation()
-	if !lapsed { // a lapsed replica may be gone: its silence says nothing about its data centre
+	if !replica.lapsed { // a lapsed replica may be gone: its silence says nothing about its data centre
 		s.entry.reach.sent(time.Now(), replica.DataCentre, replica.ID)
 	}
 	sent := time.Now()
@@ -150,6 +151,7 @@
 		Permitted: func() error { return permissionError(v.recheck(time.Now(), run), run.ID) },
 	})
 	now := time.Now()
+	s.entry.rollouts.finish(replica.pass, s.route, resultOf(ctx, &reply, err, !now.Before(a.Deadline)), now.Sub(sent), reply.Elapsed)
 	if errors.Is(err, exchange.ErrNoConnection) {
 		return reply, &scatter.UnsentError{Cause: errors.Mark(err, upstream.ErrShed)}
 	}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/marigoldlever/marigoldlever/follow"
 	"github.com/marigoldlever/marigoldlever/query"
 	"github.com/marigoldlever/marigoldlever/replicas"
+	"github.com/marigoldlever/marigoldlever/rollout"
 	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
 )
@@ -27,6 +29,8 @@
 	table atomic.Pointer[routing.Table]
 	// onTable is called with each version that comes into force.
 	onTable func(*routing.Table)
+	// rollouts decides by the versions of replicas; nil if these are ignored.
+	rollouts *rollouts
 
 	mu             sync.Mutex // guards the fields below
 	registry       *replicas.Registry
@@ -65,7 +69,7 @@
 func (v *view) complete(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.table.Load() != nil && v.replicasListed && v.outListed && !now.Before(v.caughtUpAt)
+	return v.table.Load() != nil && v.replicasListed && v.outListed && !now.Before(v.caughtUpAt) && v.rollouts.ready()
 }
 
 // firstListed records that one of the lists was read for the first time. The caller holds
@@ -88,12 +92,17 @@
 	for i, name := range names {
 		result[i].Name = name
 		usable = v.registry.Usable(now, name, usable[:0])
+		usable = slices.DeleteFunc(usable, func(c replicas.Candidate) bool { return !allowed(c.DataCentre) })
+		candidates, tryFirst := v.rollouts.choose(now, name, usable)
 		from, pause := len(replicaBuffer), time.Duration(0)
-		for _, c := range usable {
+		for j, c := range candidates {
 			switch {
-			case !allowed(c.DataCentre):
 			case c.Pause == 0:
-				replicaBuffer = append(replicaBuffer, query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed})
+				r := query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed}
+				if tryFirst { // the others are ranked like lapsed ones, after the one to try
+					r.Cold, r.Lapsed = r.Cold && j > 0, r.Lapsed || j > 0
+				}
+				replicaBuffer = append(replicaBuffer, r)
 				runs = append(runs, c.Incarnation())
 			case pause == 0 || c.Pause < pause:
 				pause = c.Pause
@@ -127,21 +136,41 @@
 
 const snapshot = 1
 
+// admitted is a replica that may get a request now.
+type admitted struct {
+	replicas.Replica
+	lapsed bool
+	pass   rollout.Pass // must be finished
+}
+
 // permit checks a replica again right before a send. It refuses a replica that may no
-// longer get new work, that is paused, or whose request rate while cold is used up.
-func (v *view) permit(now time.Time, id string, coldShare func(service string) float64) (rep replicas.Replica, lapsed bool, p permission) {
+// longer get new work, that is paused, whose request rate while cold is used up, or whose
+// version may get no request.
+func (v *view) permit(now time.Time, id string, coldShare func(service string) float64) (admitted, permission) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c, ok := v.registry.GetUsable(now, id)
 	switch {
 	case !ok:
-		return replicas.Replica{}, false, unusable
+		return admitted{}, unusable
 	case c.Pause > 0:
-		return replicas.Replica{}, false, paused
+		return admitted{}, paused
 	case c.ColdNow && !v.cold.Allow(now, c.Incarnation(), coldShare(c.Service)):
-		return replicas.Replica{}, false, coldLimited
+		return admitted{}, coldLimited
 	}
-	return c.Replica, c.Lapsed, allowed
+	pass, ok := v.rollouts.admit(now, &c.Replica, func() []replicas.Candidate { return v.registry.Usable(now, c.Service, nil) })
+	if !ok {
+		return admitted{}, unusable
+	}
+	return admitted{Replica: c.Replica, lapsed: c.Lapsed, pass: pass}, allowed
+}
+
+// hasUsable reports whether a service has a replica of a version that may get as many requests
+// as others.
+func (v *view) hasUsable(now time.Time, service, version string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.registry.Usable(now, service, nil), func(c replicas.Candidate) bool { return c.Version == version && !c.ColdNow })
 }
 
 // permission tells whether a replica may get a request now.
@@ -172,6 +201,8 @@
 		return unusable
 	case c.Pause > 0:
 		return paused
+	case !v.rollouts.permits(now, &c.Replica):
+		return unusable
 	}
 	return allowed
 }
@@ -297,6 +328,7 @@
 	}
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
+	s.view.rollouts.see(now, list, true)
 	if leftOut := s.view.registry.Replace(now, list); leftOut > 0 {
 		s.recordLeftOut(leftOut, list[len(list)-1].ID)
 	}
@@ -316,6 +348,7 @@
 			klog.InfoS("Replica removed", "replica", item.Name, "revision", revision)
 			continue
 		}
+		s.view.rollouts.see(now, []replicas.Replica{item.Value}, false)
 		if !s.view.registry.Put(now, item.Value) {
 			s.recordLeftOut(1, item.Name)
 			continue
