--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -55,10 +55,10 @@
 	store RolloutStore
 	cfg   rollout.Config
 
-	mu      sync.Mutex
-	host    *rollout.Host
-	hosts   []rollout.Peer
-	courses map[rollout.OrderID]*course
+	mu     sync.Mutex
+	host   *rollout.Host
+	hosts  []rollout.Peer
+	active map[rollout.OrderID]*activeRollout
 	// stopping is set once this host stops: it then leads no roll-out.
 	stopping bool
 	listed   bool // whether the orders were listed once
@@ -83,7 +83,7 @@
 		return metrics.GetOrRegisterCounter("rollout."+name, e.metrics.registry)
 	}
 	e.rollouts = &rollouts{
-		entry: e, node: node, store: store, cfg: cfg, host: rollout.NewHost(cfg, e.settings.Host, run), courses: map[rollout.OrderID]*course{},
+		entry: e, node: node, store: store, cfg: cfg, host: rollout.NewHost(cfg, e.settings.Host, run), active: map[rollout.OrderID]*activeRollout{},
 		exposed: counter("exposed"), bad: counter("bad"), reports: counter("reports"), failures: counter("report_failures"),
 		running: metrics.GetOrRegisterGauge("rollout.running", e.metrics.registry),
 		leading: metrics.GetOrRegisterGauge("rollout.leading", e.metrics.registry),
--- a/internal/entry/rollouts_lead.go
+++ b/internal/entry/rollouts_lead.go
@@ -15,8 +15,8 @@
 	"github.com/marigoldlever/marigoldlever/rollout"
 )
 
-// course is this host's part in a roll-out: who leads it, and its leader if that is this host.
-type course struct {
+// activeRollout is this host's part in a roll-out: who leads it, and its leader if that is this host.
+type activeRollout struct {
 	id     rollout.OrderID
 	order  rollout.Order
 	seenAt time.Time
@@ -34,8 +34,8 @@
 	endedAt time.Time
 }
 
-// endedCourseTime is how long after its end a leader goes on telling other hosts.
-const endedCourseTime = 10 * time.Second
+// endedRolloutTime is how long after its end a leader goes on telling other hosts.
+const endedRolloutTime = 10 * time.Second
 
 // runUntil carries out roll-outs until ctx ends.
 func (r *rollouts) runUntil(ctx context.Context) {
@@ -53,35 +53,35 @@
 	return max(reportInterval, time.Duration(len(r.hosts))*reportIntervalPerHost)
 }
 
-// update brings the courses in line with the orders and returns those that are carried out.
-func (r *rollouts) update(now time.Time) []*course {
+// update brings the active roll-outs in line with the orders and returns those that are carried out.
+func (r *rollouts) update(now time.Time) []*activeRollout {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	orders := r.host.Trials()
-	var courses []*course
+	var active []*activeRollout
 	for _, o := range orders {
-		c := r.courses[o.OrderID]
+		c := r.active[o.OrderID]
 		if c == nil {
-			c = &course{id: o.OrderID, seenAt: now}
-			r.courses[o.OrderID] = c
+			c = &activeRollout{id: o.OrderID, seenAt: now}
+			r.active[o.OrderID] = c
 		}
 		c.order = o
 		if c.leader != nil {
 			c.leader.SetOrder(o)
 		}
-		courses = append(courses, c)
+		active = append(active, c)
 	}
-	for id, c := range r.courses {
+	for id, c := range r.active {
 		switch {
-		case slices.Contains(courses, c):
+		case slices.Contains(active, c):
 		case c.endedAt.IsZero():
 			c.endedAt = now
-		case now.Sub(c.endedAt) >= endedCourseTime:
-			delete(r.courses, id)
+		case now.Sub(c.endedAt) >= endedRolloutTime:
+			delete(r.active, id)
 		}
 	}
-	r.running.Update(int64(len(courses)))
-	return courses
+	r.running.Update(int64(len(active)))
+	return active
 }
 
 // report reports to the leaders of all roll-outs.
@@ -93,7 +93,7 @@
 	group.Wait()
 }
 
-func (r *rollouts) reportOn(ctx context.Context, c *course) {
+func (r *rollouts) reportOn(ctx context.Context, c *activeRollout) {
 	sentAt := time.Now()
 	r.mu.Lock()
 	id := c.id
@@ -138,7 +138,7 @@
 
 // destination returns the address to which a report is sent: that of the leader, or of the
 // hosts that may lead in turn. The caller holds mu.
-func (r *rollouts) destination(now time.Time, c *course) string {
+func (r *rollouts) destination(now time.Time, c *activeRollout) string {
 	if c.leaderAddress != "" && c.leaderAddress != r.entry.settings.PeerAddress {
 		return c.leaderAddress
 	}
@@ -150,7 +150,7 @@
 }
 
 // handleReply applies a leader's reply. The caller holds mu.
-func (r *rollouts) handleReply(sentAt time.Time, c *course, reply rollout.Reply) {
+func (r *rollouts) handleReply(sentAt time.Time, c *activeRollout, reply rollout.Reply) {
 	if entered := r.host.HandleReply(time.Now(), sentAt, reply); entered != "" {
 		klog.InfoS("Roll-out enters phase", "order", c.id.Name, "service", c.id.Service, "version", c.id.Version, "phase", entered, "fence", reply.Fence)
 	}
@@ -164,7 +164,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.courses[report.Order]
+	c := r.active[report.Order]
 	switch {
 	case c == nil:
 		return rollout.Reply{Order: report.Order}, nil
@@ -198,7 +198,7 @@
 }
 
 // stand takes the lead of a roll-out if it is this host's turn and the lead is free.
-func (r *rollouts) stand(ctx context.Context, c *course) {
+func (r *rollouts) stand(ctx context.Context, c *activeRollout) {
 	now := time.Now()
 	r.mu.Lock()
 	order, seenAt := c.order, c.seenAt
@@ -250,7 +250,7 @@
 
 // release gives up the lead of a roll-out, so that the next host need not wait for the lease to
 // end.
-func (r *rollouts) release(ctx context.Context, c *course) {
+func (r *rollouts) release(ctx context.Context, c *activeRollout) {
 	r.mu.Lock()
 	record, revision := c.leader.Released(time.Now()), c.revision
 	c.leader, c.leaderAddress = nil, ""
@@ -261,7 +261,7 @@
 
 // advance does the work of the leader of a roll-out: it decides, renews the record and writes
 // the status.
-func (r *rollouts) advance(ctx context.Context, c *course) {
+func (r *rollouts) advance(ctx context.Context, c *activeRollout) {
 	now := time.Now()
 	present := r.entry.view.hasUsable(now, c.id.Service, c.id.Version)
 	r.mu.Lock()
@@ -290,7 +290,7 @@
 }
 
 // renew writes the record. It reports whether this host still leads for sure.
-func (r *rollouts) renew(ctx context.Context, c *course, leader *rollout.Leader, record rollout.Record, revision uint64) bool {
+func (r *rollouts) renew(ctx context.Context, c *activeRollout, leader *rollout.Leader, record rollout.Record, revision uint64) bool {
 	sentAt := time.Now()
 	written, err := r.store.WriteRecord(ctx, c.id.Name, record, revision)
 	if errors.Is(err, objectstore.ErrConflict) {
@@ -315,7 +315,7 @@
 
 // confirm writes a record again if the present one is of this host's term. Otherwise it returns
 // the conflict.
-func (r *rollouts) confirm(ctx context.Context, c *course, record rollout.Record, conflict error) (uint64, error) {
+func (r *rollouts) confirm(ctx context.Context, c *activeRollout, record rollout.Record, conflict error) (uint64, error) {
 	present, revision, err := r.store.ReadRecord(ctx, c.id.Name)
 	if err != nil {
 		return 0, err
