platform: reports of load may have a fourth figure

Cause: parseLoad took reports of exactly three figures. On the deployments whose replicas add how long work takes at the moment, nearly all reports were dropped, so that admission had next to none.

Change: three figures are required, a fourth is the pace, further ones are ignored. upstream.Load gains the waiting requests and the pace, and is what exchange.Reply carries. TestReadReplyReplicaLoad took a report of four figures for malformed; it now states what each figure means and keeps its malformed reports, with a malformed fourth figure added.

Measured: TestReadReplyReplicaLoad.

--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/marigoldlever/marigoldlever/admission"
 	"github.com/marigoldlever/marigoldlever/internal/scatter"
 	"github.com/marigoldlever/marigoldlever/upstream"
 	"github.com/marigoldlever/marigoldlever/upstream/exchange"
@@ -162,7 +163,7 @@
 	s.entry.reach.recordReply(now, replica.DataCentre)
 	v.recordReply(now, run, &reply)
 	if !reply.Misdirected {
-		s.entry.overload.recordLoad(now, a.Request.Service, a.Replica, reply.Load, now.Sub(sent))
+		s.entry.overload.recordLoad(now, a.Request.Service, a.Replica, admission.Load{Waiting: reply.Load.Waiting, Slots: reply.Load.Slots}, now.Sub(sent))
 	}
 	return s.classify(a, reply)
 }
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -11,8 +11,8 @@
 	"net/http"
 	"time"
 
-	"github.com/marigoldlever/marigoldlever/admission"
 	"github.com/marigoldlever/marigoldlever/replicas"
+	"github.com/marigoldlever/marigoldlever/upstream"
 )
 
 // Request is a caller's request as it is forwarded.
@@ -67,7 +67,7 @@
 	// MalformedPause is the text of a request for a pause that can't be decoded.
 	MalformedPause string
 	// Load is the replica's own load report. Load.Slots is 0 if there is none.
-	Load admission.Load
+	Load upstream.Load
 }
 
 // Codec encodes requests and decodes replies with the header names of a protocol.
