query, loadestimate: replicas are chosen by their reports of load

Cause: the choice of a replica went by what this host alone had seen. Latencies of routes with long and with short work were mixed in one mean, so that chance differences sent requests to other data centres. Load reports were not used.

Change: package loadestimate holds the expected latency of a replica that reports its load: its mean latency relative to its route's, times how far its queue and its pace are off their means. Deviations are discounted with the report's age, and this host's requests count as they are now. Replicas near the best one share the requests at random. Hedges and retries choose likewise. Replicas without reports are chosen as before. Reports in refusals count, those of another replica at the address don't. Metrics and a log line every 10 s show the spread and the age of the reports.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,7 @@
 	answers    *answerTimes
 	shares     *shares
 	overload   *overload
+	loads      *loadMetrics
 	memory     memory
 	offload    *offloader // nil if this host does all requests itself
 }
@@ -84,7 +85,7 @@
 	exchange.Codec
 	CallerCodec
 }, registry metrics.Registry, seed uint64) *Entry {
-	e := &Entry{settings: s, callers: codec, view: newView(s.memoryLimit().Share(membudget.RegistryShare), registry), shares: newShares(), overload: newOverload(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s.memoryLimit())}
+	e := &Entry{settings: s, callers: codec, view: newView(s.memoryLimit().Share(membudget.RegistryShare), registry), shares: newShares(), overload: newOverload(registry), loads: newLoadMetrics(registry), metrics: newRequestMetrics(registry), answers: newAnswerTimes(s.LinkMbps), memory: newMemory(s.memoryLimit())}
 	e.bounds.Store(&s.Bounds)
 	e.pool = exchange.NewPool(codec, e.connections, registry)
 	e.pool.LimitMemory(s.memoryLimit().Share(membudget.ReplyShare), s.memoryLimit().Share(membudget.RepliesShare))
@@ -136,6 +137,9 @@
 		e.follow(ctx, sources)
 	})
 	group.Go(func() { wait.Every(ctx, housekeepingInterval, e.housekeep) })
+	group.Go(func() {
+		wait.Every(ctx, loadInterval, func(now time.Time) { e.scatter.SummarizeLoad(now, e.loads.record) })
+	})
 	if e.offload != nil {
 		group.Go(func() { wait.Every(ctx, aliveInterval, func(time.Time) { e.offload.tick(ctx) }) })
 	}
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -89,9 +89,12 @@
 		s.causes[causeOf(err)]++
 	}
 	s.mu.Unlock()
+	if reply.Misdirected { // the load of another replica
+		reply.Load = upstream.Load{}
+	}
 	a.Done(upstream.Reply{
 		Attempt: a.ID, Service: a.Request.Service, Snapshot: snapshot, Held: oneSnapshot,
-		Partition: a.Request.Partition, Records: reply.Body,
+		Partition: a.Request.Partition, Records: reply.Body, Load: reply.Load,
 	}, err)
 }
 
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -237,7 +237,9 @@
 			err = errNoMemory
 		}
 		if err != nil {
-			return r.machine.Fail(now, id, failureOf(err, reply.Held))
+			f := failureOf(err, reply.Held)
+			f.Load = reply.Load
+			return r.machine.Fail(now, id, f)
 		}
 		return r.machine.Reply(now, id, reply)
 	})
@@ -307,6 +309,16 @@
 	}
 }
 
+// SummarizeLoad passes a summary of the replicas' reported load to visit for each stripe.
+func (e *Executor) SummarizeLoad(now time.Time, visit func(query.LoadSummary)) {
+	for _, s := range e.stripes {
+		s.mu.Lock()
+		summary := s.stats.SummarizeLoad(now)
+		s.mu.Unlock()
+		visit(summary)
+	}
+}
+
 // Prune removes the statistics that were not used since the given time and, of the others,
 // all but the limit services of each stripe that were used last.
 func (e *Executor) Prune(since time.Time, limit int) {
--- a/query/action.go
+++ b/query/action.go
@@ -152,6 +152,8 @@
 	// attempt does not count towards MaxTries, but a retry is charged to the
 	// RetryBudget.
 	NotRun bool
+	// Load is the load that the replica reported with its failure.
+	Load upstream.Load
 }
 
 // FailureOf converts an error of package upstream to a Failure. Held comes from
--- a/query/expected.go
+++ b/query/expected.go
@@ -5,12 +5,18 @@
 	"time"
 )
 
+// tieMargin is the difference of expected latencies, in mean latencies of the group, up to
+// which replicas share the requests if the best of them reports its load. Hosts that know
+// similar reports would otherwise all choose the same replica.
+const tieMargin = 0.15
+
 // pickLeastExpected returns the replica of the set with the lowest expected
 // latency. A replica in another data centre is chosen only if it is clearly faster,
 // because traffic between data centres is expensive and adds latency.
 func (m *Machine) pickLeastExpected(now time.Time, s *service, set uint64) int {
 	best, bestCost := 0, math.Inf(1)
 	meanLatency := s.groupStats.meanLatency()
+	var costs [maxReplicas]float64
 	offset := m.rng.IntN(len(s.replicas))
 	for n := range s.replicas {
 		i := (n + offset) % len(s.replicas)
@@ -33,9 +39,29 @@
 		if s.replicas[i].cold {
 			cost += coldCost * meanLatency
 		}
+		costs[i] = cost
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
+	if s.replicas[best].stats.load.Known() {
+		best = m.pickWithinMargin(s, set, costs[:len(s.replicas)], bestCost+tieMargin*meanLatency)
+	}
 	return best
 }
+
+// pickWithinMargin returns a random replica of the set. The probability of a replica is
+// proportional to the amount by which its cost is below the limit.
+func (m *Machine) pickWithinMargin(s *service, set uint64, costs []float64, limit float64) int {
+	chosen, sum := 0, 0.0
+	for i, cost := range costs {
+		if set&(1<<i) == 0 || cost >= limit {
+			continue
+		}
+		sum += limit - cost
+		if m.rng.Float64()*sum < limit-cost {
+			chosen = i
+		}
+	}
+	return chosen
+}
--- a/query/machine.go
+++ b/query/machine.go
@@ -191,6 +191,7 @@
 	}
 	s := &m.services[a.service]
 	rep := &s.replicas[a.replica]
+	rep.stats.load.Report(now, r.Load, rep.stats.inFlight)
 	m.endAttempt(now, a, true)
 	m.mayHaveRun = true
 	if r.Attempt != id || r.Service != s.name {
@@ -232,6 +233,8 @@
 	if a == nil {
 		return nil
 	}
+	rep := &m.services[a.service].replicas[a.replica]
+	rep.stats.load.Report(now, f.Load, rep.stats.inFlight)
 	m.endAttempt(now, a, false)
 	m.attemptFailed(now, a, f)
 	return m.completeEvent(now)
@@ -287,6 +290,7 @@
 	if observe {
 		latency := now.Sub(m.start) - a.sentAt
 		r.observe(now, latency)
+		r.load.Observe(float64(latency) / s.groupStats.meanLatency())
 		s.stats.observe(latency)
 		s.groupStats.observe(latency)
 	}
--- a/query/plan.go
+++ b/query/plan.go
@@ -129,7 +129,7 @@
 	Random Selection = "random"
 	// LeastExpectedLatency chooses the replica with the lowest expected latency. The
 	// estimate uses its recent latency, its failure rate, its number of requests in
-	// flight and the age of the oldest of them.
+	// flight and the age of the oldest of them, and the load that it last reported, if any.
 	LeastExpectedLatency Selection = "least_expected"
 	// RoundRobin chooses the replicas of a service in turn.
 	RoundRobin Selection = "round_robin"
--- a/query/send.go
+++ b/query/send.go
@@ -53,6 +53,7 @@
 	if !t.hedged && !hedge && m.plan.Tuning.Hedging != HedgeOff && !m.plan.AtMostOnce {
 		m.setDue(t, m.hedgeAt(at, s))
 	}
+	m.stats.choices.count(now, rep.stats)
 	rep.stats.begin(now)
 	s.stats.used, s.groupStats.used = now, now
 	m.emit(Send{
--- a/query/stats.go
+++ b/query/stats.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/marigoldlever/marigoldlever/loadestimate"
 )
 
 const (
@@ -49,6 +51,9 @@
 	// stallFactor is the age of an unanswered request, in mean latencies of the group,
 	// above which its replica is taken to have stalled.
 	stallFactor = 2
+	// reportedStallFactor is the same for a replica that reports its load, whose expected
+	// latency is known better.
+	reportedStallFactor = 1.3
 	// remoteCost is added for a replica in another data centre, in mean latencies of
 	// the group. Such a replica has to be faster by this amount to be chosen.
 	remoteCost = 0.35
@@ -73,6 +78,7 @@
 	services map[string]*serviceStats
 	groups   map[string]*serviceStats
 	replicas map[string]*replicaStats
+	choices  choiceCounts
 }
 
 // NewStats returns empty statistics.
@@ -246,6 +252,7 @@
 	inFlightSince   []time.Time // send times of the requests in flight, in order
 	lastFailureRate float64     // recent share of failed attempts at failedAt
 	failedAt        time.Time
+	load            loadestimate.Replica
 }
 
 func (r *replicaStats) begin(now time.Time) {
@@ -288,19 +295,32 @@
 // expectedLatency returns the expected time to a reply in nanoseconds. The parameter
 // meanLatency is the mean latency of the group.
 func (r *replicaStats) expectedLatency(now time.Time, meanLatency float64) float64 {
-	mean := r.recentMean(now)
-	if mean == 0 {
-		mean = meanLatency
-	}
-	cost := mean*(1+float64(r.inFlight)/2) + r.failureRate(now)*failureCost*meanLatency
+	cost := r.replyLatency(now, meanLatency) + r.failureRate(now)*failureCost*meanLatency
 	if len(r.inFlightSince) > 0 {
-		if waited := float64(now.Sub(r.inFlightSince[0])); waited > stallFactor*meanLatency {
+		limit := stallFactor * meanLatency
+		if r.load.Known() {
+			limit = reportedStallFactor * meanLatency
+		}
+		if waited := float64(now.Sub(r.inFlightSince[0])); waited > limit {
 			cost += waited
 		}
 	}
 	return cost
 }
 
+// replyLatency returns the expected time to a reply of a replica that neither fails nor
+// stalls. It goes by the replica's own reports of load if there are any.
+func (r *replicaStats) replyLatency(now time.Time, meanLatency float64) float64 {
+	if r.load.Known() {
+		return meanLatency * r.load.Latency(now, r.inFlight, time.Duration(meanLatency))
+	}
+	mean := r.recentMean(now)
+	if mean == 0 {
+		mean = meanLatency
+	}
+	return mean * (1 + float64(r.inFlight)/2)
+}
+
 func (r *replicaStats) observe(now time.Time, latency time.Duration) {
 	if r.recentMean(now) == 0 {
 		r.mean = float64(latency)
