loadestimate: half of a reported pace's deviation counts

Cause: with reports 500 ms older than known, 10 hosts and a load of 0.2, replicas with requests waiting rose from 0.033 to 0.036. `go test -race ./query` failed in TestReportsOfLoadSpreadRequests/load_0.2,_10_hosts.

Change: half of the deviation of the pace from its mean counts.

The test passes.

--- a/loadestimate/loadestimate.go
+++ b/loadestimate/loadestimate.go
@@ -22,6 +22,9 @@
 	// paceLifetime is the same for a reported pace, which follows the load that other
 	// programs put on the replica's machine.
 	paceLifetime = 250 * time.Millisecond
+	// paceWeight is the share of a pace's deviation from its mean that counts: the pace may
+	// change before the request arrives, and not all of a latency is work.
+	paceWeight = 0.5
 	// latencyLifetime is the same for a replica's relative latency, so that a replica that
 	// was avoided is tried again.
 	latencyLifetime = 2 * time.Second
@@ -105,9 +108,9 @@
 // latency of all replicas.
 func (r *Replica) Latency(now time.Time, inFlight int, meanLatency time.Duration) float64 {
 	queue := r.queue(now, inFlight, meanLatency)
-	pace := discount(r.pace, r.meanPace, r.Age(now), paceLifetime)
+	pace := discount(r.pace/r.meanPace, 1, r.Age(now), paceLifetime)
 	latency := discount(r.latency, 1, r.Age(now), latencyLifetime)
-	return latency * pace / r.meanPace * r.delay(queue) / r.delay(r.meanOthers)
+	return latency * (1 + paceWeight*(pace-1)) * r.delay(queue) / r.delay(r.meanOthers)
 }
 
 // delay returns the factor by which a queue makes requests slower.
