--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -74,6 +74,7 @@
 	e := entry.New(s, platform.Codec{}, registry, rand.Uint64())
 	if s.PeerAddress != "" {
 		e.EnableOffload(node)
+		e.EnableQuotas(node)
 		if err := node.Listen(s.PeerAddress); err != nil {
 			klog.ErrorS(err, "Cannot listen for calls of other hosts", "address", s.PeerAddress)
 		}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -41,6 +41,7 @@
 		a.verdict = verdictCallerLeft
 	}
 	out.verdict, out.status, out.reason = a.verdict.name, a.verdict.status, a.text
+	out.notRun = a.verdict.promisesNotRun()
 	if a.closes || e.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,7 @@
 	overload   *overload
 	memory     memory
 	offload    *offloader // nil if this host does all requests itself
+	quotas     *quotas    // nil if this host keeps no quotas
 }
 
 // New returns an entry; Run starts it.
@@ -103,6 +104,7 @@
 // restart.
 func (e *Entry) Reload(s Settings) {
 	e.bounds.Store(&s.Bounds)
+	e.quotas.setBounds(s.Bounds.Quota)
 	e.lifecycle.SetConfig(drainConfig(s.Bounds.Grace))
 	restart := s.CallerAddress != e.settings.CallerAddress || s.StoreAddress != e.settings.StoreAddress ||
 		s.DataCentre != e.settings.DataCentre
@@ -139,6 +141,9 @@
 	if e.offload != nil {
 		group.Go(func() { wait.Every(ctx, aliveInterval, func(time.Time) { e.offload.tick(ctx) }) })
 	}
+	if e.quotas != nil {
+		group.Go(func() { wait.Every(ctx, quotaTick, func(time.Time) { e.quotas.tick(ctx) }) })
+	}
 	group.Go(func() { wait.Every(ctx, reachTick, func(now time.Time) { e.reach.tick(ctx, now) }) })
 	<-stop
 	cutOff, end = e.stop(ctx, servers)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -43,6 +43,7 @@
 // finish releases what a request and its answer needed.
 func (e *Entry) finish(out *outcome) {
 	out.close()
+	e.quotas.settle(out)
 	e.memory.bodies.Release(out.bodyHeld)
 	if out.accepted {
 		e.lifecycle.End(drain.CallerWork)
@@ -89,6 +90,9 @@
 		return refuseLeaving()
 	}
 	latencyGoal := e.latencyGoalFor(r.Context(), route, timeout)
+	if a, refused := e.quotas.charge(r.Context(), out, route, latencyGoal); refused {
+		return a
+	}
 	if a, ok := e.offload.forward(r.Context(), out, route, &request, latencyGoal); ok {
 		return a
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldlever/marigoldlever/internal/loopback"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/quota"
 	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/watchers"
@@ -208,13 +209,15 @@
 	settings := entry.Settings{
 		Host: self.ID, DataCentre: self.DataCentre, PeerAddress: self.Address, Cores: self.Cores,
 		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness, MemoryMB: tr.memoryMB,
-		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
+		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second,
+			Quota: quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}},
 	}
 	e := entry.New(settings, platform.Codec{}, tr.metrics, 1)
 	if self.Address != "" {
 		tr.peerAddress = self.Address
 		tr.node = peer.NewNode(peer.Config{Advertise: self.Address})
 		e.EnableOffload(tr.node)
+		e.EnableQuotas(tr.node)
 		if err := tr.node.Listen(self.Address); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -52,6 +52,7 @@
 		listed = slices.Contains(list, e.settings.Self())
 		onHosts(list)
 		e.offload.setHosts(list)
+		e.quotas.setHosts(list)
 		division := offload.Uniform(max(len(list), 1))
 		if e.offload != nil {
 			division = offload.Divide(e.settings.Self(), list)
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -77,12 +78,12 @@
 }
 
 func (m *requestMetrics) recordOutcome(o *outcome, took time.Duration) {
-	const firstErrorStatus, notRun = 400, 503
+	const firstErrorStatus = 400
 	m.latency.Update(took.Microseconds())
 	m.hedges.Inc(int64(o.counts.Hedges))
 	m.retries.Inc(int64(o.counts.Retries))
 	switch {
-	case o.status == notRun:
+	case o.status == http.StatusServiceUnavailable, o.status == http.StatusTooManyRequests:
 		m.notRun.Inc(1)
 	case o.status == 0 || o.status >= firstErrorStatus:
 		m.failed.Inc(1)
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -36,6 +36,10 @@
 	verdict       string
 	latencyGoal   time.Duration    // counted from started
 	account       *routing.Account // nil if the request needs none
+	// tokenUntil is until when the token of the account's quota may be given back; zero if the
+	// request took none.
+	tokenUntil time.Time
+	notRun     bool // whether the answer promises that the request has not run
 }
 
 // close releases what the answer needed. It must be called after the answer was written.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/quota"
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
@@ -51,6 +52,8 @@
 	// service's rate times the factor, plus the slack.
 	ColdFactor float64
 	ColdSlack  float64
+	// Quota limits how far all hosts together may exceed an account's quota.
+	Quota quota.Bounds
 }
 
 // watchMargin is reserved within ContactTime for a late answer and the calls that
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -53,6 +53,7 @@
 	grace := e.bounds.Load().Grace
 	end = time.Now().Add(grace - stopReserve(grace)/4)
 	klog.InfoS("Planned stop begins", "host", e.settings.Host, "inFlight", e.lifecycle.InFlight(), "grace", grace)
+	e.quotas.stop()
 	cutOff = e.lifecycle.StopAndWait(ctx)
 	time.Sleep(min(refusalTime, time.Until(end)-stopReserve(grace)/4))
 	closing, cancel := context.WithDeadline(ctx, end)
--- a/internal/entry/verdict.go
+++ b/internal/entry/verdict.go
@@ -86,13 +86,16 @@
 
 // promisesNotRun reports whether the answer promises that the request has not run and never
 // will. Only such an answer tells the caller when to come back.
-func (v *verdict) promisesNotRun() bool { return v.status == http.StatusServiceUnavailable }
+func (v *verdict) promisesNotRun() bool {
+	return v.status == http.StatusServiceUnavailable || v.status == http.StatusTooManyRequests
+}
 
 // Verdicts of requests that were not routed. They are never sent to a replica.
 var (
 	verdictMalformed = &verdict{"malformed", http.StatusBadRequest, "a request that can't be read is the caller's fault"}
 	verdictNoRoute   = &verdict{"no_route", http.StatusNotFound, "no version of the configuration in force has a route"}
 	verdictNoAccount = &verdict{"no_account", http.StatusUnauthorized, "no account of the version in force has the caller's key"}
+	verdictOverQuota = &verdict{"over_quota", http.StatusTooManyRequests, "a request beyond the quota of its account is not sent"}
 	verdictHeader    = &verdict{"header_too_large", http.StatusRequestHeaderFieldsTooLarge, "the header exceeds the limit of the configuration"}
 	verdictTooLarge  = &verdict{"too_large", http.StatusRequestEntityTooLarge, "the body exceeds the limit of the configuration"}
 	verdictNotReady  = &verdict{"not_ready", http.StatusServiceUnavailable, "a host that knows no configuration has sent nothing"}
--- /dev/null
+++ b/quota/lender.go
@@ -0,0 +1,363 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// grantTime is how long a host's grant of its share holds. After a lender has failed, no
+	// other host may lend the shares that it held for this long.
+	grantTime = time.Second
+	// claimInterval is the time between a lender's claims of a share. Two claims in a row may
+	// be lost. A share that is granted to another lender is claimed again after
+	// grantedElsewhereRetry.
+	claimInterval         = 300 * time.Millisecond
+	grantedElsewhereRetry = 100 * time.Millisecond
+	// rankDelay is the time between the moments at which a host and the next one in the order
+	// of candidates claim the shares of a lender that has failed. It is longer than a call.
+	rankDelay = 50 * time.Millisecond
+	// forgetInterval is the time between removals of buckets that are full.
+	forgetInterval = 5 * time.Second
+)
+
+// Host is a host that shares the quotas. Its address identifies it.
+type Host struct {
+	Address string
+	Cores   float64
+}
+
+// Claim is a lender's request for the share of a host, or its notice that it needs it no longer.
+type Claim struct {
+	From string
+	// Run identifies the process of the lender; Number rises with its claims.
+	Run    uint64
+	Number uint64
+	// Hosts is the number of hosts that the lender knows.
+	Hosts int
+	// Held is the number of shares that the lender holds.
+	Held int
+	// Release is set if the lender no longer uses the share.
+	Release bool
+}
+
+// ClaimReply answers a claim.
+type ClaimReply struct {
+	Granted bool
+	// Hosts is the number of hosts that the host knows.
+	Hosts int
+	// Lender is the host that has the share, if it wasn't granted; empty if there is none.
+	Lender string
+	// Held is the number of shares that the host holds as a lender itself.
+	Held int
+}
+
+// Message is a claim to be sent to a host.
+type Message struct {
+	To    string
+	Claim Claim
+	// SentAt is the time from which a grant counts.
+	SentAt time.Time
+}
+
+// Loan is a lender's answer to a host that asks for tokens.
+type Loan struct {
+	Tokens int
+	// RoomIn is when the account has a token again, if fewer were lent than requests wait, and
+	// Spread the time that those refused lately need from then on.
+	RoomIn, Spread time.Duration
+}
+
+// grant is this host's grant of its share.
+type grant struct {
+	to     string
+	run    uint64
+	number uint64
+	// mixed is set if messages of several processes of the lender's host extended the grant. A
+	// release may then be an older process's.
+	mixed bool
+	until time.Time
+}
+
+// peerState is what a lender knows of another host.
+type peerState struct {
+	grantedUntil time.Time
+	nextClaim    time.Time
+}
+
+// Lender decides to whom this host grants its share, and lends the tokens of the shares that
+// others grant to it.
+type Lender struct {
+	self   string
+	run    uint64
+	bounds Bounds
+
+	// mayGrantFrom is when a grant of an earlier process of this host has ended.
+	mayGrantFrom time.Time
+	hosts        []Host
+	rank         int // of this host among the candidates
+	hostCount    int // the largest number of hosts that is known here
+
+	grant   grant
+	hint    grant // a lender that works without this host's share
+	lending bool
+	peers   map[string]*peerState
+	pool    *pool
+	number  uint64
+	forgot  time.Time
+}
+
+// NewLender returns the lender of a process that begins now. Run must differ from that of every
+// earlier process of the host.
+func NewLender(now time.Time, self string, run uint64, bounds Bounds) *Lender {
+	return &Lender{
+		self: self, run: run, bounds: bounds, mayGrantFrom: now.Add(grantTime),
+		peers: map[string]*peerState{}, pool: newPool(bounds),
+	}
+}
+
+// SetBounds replaces the bounds.
+func (l *Lender) SetBounds(bounds Bounds) {
+	l.bounds = bounds
+	l.pool.bounds = bounds
+}
+
+// SetHosts replaces the list of all hosts, this one included.
+func (l *Lender) SetHosts(hosts []Host) {
+	l.hosts = slices.Clone(hosts)
+	slices.SortFunc(l.hosts, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)), cmp.Compare(a.Address, b.Address))
+	})
+	l.rank = max(slices.IndexFunc(l.hosts, func(h Host) bool { return h.Address == l.self }), 0)
+	l.hostCount = max(l.hostCount, len(l.hosts))
+}
+
+// Current returns the host to ask for tokens, which may be this one; empty if none is known.
+func (l *Lender) Current(now time.Time) string {
+	switch {
+	case l.lending:
+		return l.self
+	case now.Before(l.grant.until):
+		return l.grant.to
+	case now.Before(l.hint.until):
+		return l.hint.to
+	}
+	return ""
+}
+
+// Held returns the number of shares that this host holds as a lender, and the number of all.
+func (l *Lender) Held(now time.Time) (held, all int) {
+	if !l.lending {
+		return 0, l.hostCount
+	}
+	for _, p := range l.peers {
+		if now.Before(p.grantedUntil) {
+			held++
+		}
+	}
+	return held, l.hostCount
+}
+
+// refresh brings the pool up to date with the grants that have ended.
+func (l *Lender) refresh(now time.Time) {
+	held, all := l.Held(now)
+	share := 0.0
+	if held > 0 {
+		share = min(float64(held)/float64(all), 1)
+	}
+	l.pool.setShare(now, share)
+}
+
+// HandleClaim answers the claim of another host.
+func (l *Lender) HandleClaim(now time.Time, c Claim) (ClaimReply, []Message) {
+	if c.Release {
+		l.released(now, c)
+		return ClaimReply{Hosts: l.hostCount}, nil
+	}
+	l.hostCount = max(l.hostCount, c.Hosts)
+	l.know(c.From)
+	var messages []Message
+	held, _ := l.Held(now)
+	if l.lending {
+		if !precedes(c.Held, c.From, held, l.self) {
+			return ClaimReply{Hosts: l.hostCount, Lender: l.self, Held: held}, nil
+		}
+		messages = l.StepDown(now)
+	}
+	return l.decide(now, c), messages
+}
+
+// precedes reports whether a lender goes on lending when it meets another one.
+func precedes(held int, address string, otherHeld int, otherAddress string) bool {
+	return held > otherHeld || held == otherHeld && address < otherAddress
+}
+
+// decide grants this host's share if it isn't granted to another lender.
+func (l *Lender) decide(now time.Time, c Claim) ClaimReply {
+	reply := ClaimReply{Hosts: l.hostCount}
+	granted := now.Before(l.grant.until)
+	switch {
+	case now.Before(l.mayGrantFrom):
+		l.hint = grant{to: c.From, until: now.Add(grantTime)}
+	case granted && l.grant.to != c.From:
+		reply.Lender = l.grant.to
+	case l.grant.to == c.From && l.grant.run == c.Run && c.Number <= l.grant.number:
+		// An older message. The lender may have released the share since.
+	default:
+		mixed := granted && (l.grant.mixed || l.grant.run != c.Run)
+		l.grant = grant{to: c.From, run: c.Run, number: c.Number, mixed: mixed, until: now.Add(grantTime)}
+		reply.Granted = true
+	}
+	return reply
+}
+
+// released ends the grant to a lender that no longer uses the share.
+func (l *Lender) released(now time.Time, c Claim) {
+	if l.grant.to == c.From && l.grant.run == c.Run && !l.grant.mixed && c.Number > l.grant.number {
+		l.grant.number = c.Number
+		l.grant.until = minTime(l.grant.until, now)
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// know adds a host that isn't on the list yet. Its share counts, but it isn't a candidate before
+// it is on the list.
+func (l *Lender) know(address string) {
+	if l.lending && l.peers[address] == nil && !slices.ContainsFunc(l.hosts, func(h Host) bool { return h.Address == address }) {
+		l.peers[address] = &peerState{}
+	}
+}
+
+// Tick returns the claims that are due. QuotaOf returns the quota of an account.
+func (l *Lender) Tick(now time.Time, quotaOf func(account string) Quota) []Message {
+	if !l.lending && !l.begin(now) {
+		return nil
+	}
+	l.grantToSelf(now)
+	l.refresh(now)
+	if now.Sub(l.forgot) >= forgetInterval {
+		l.forgot = now
+		l.pool.forget(quotaOf)
+	}
+	return l.dueClaims(now)
+}
+
+// begin makes this host the lender if there is none and all candidates before it had time to
+// become it.
+func (l *Lender) begin(now time.Time) bool {
+	last := l.mayGrantFrom
+	for _, t := range []time.Time{l.grant.until, l.hint.until} {
+		if t.After(last) {
+			last = t
+		}
+	}
+	if len(l.hosts) == 0 || now.Before(last.Add(time.Duration(l.rank)*rankDelay)) {
+		return false
+	}
+	l.lending = true
+	l.peers = map[string]*peerState{}
+	l.pool = newPool(l.bounds)
+	return true
+}
+
+// grantToSelf renews the grant of this host's own share.
+func (l *Lender) grantToSelf(now time.Time) {
+	until := now.Add(grantTime)
+	l.grant = grant{to: l.self, run: l.run, until: until}
+	l.peers[l.self] = &peerState{grantedUntil: until, nextClaim: until}
+}
+
+// dueClaims returns the claims that are due. The first ones all are.
+func (l *Lender) dueClaims(now time.Time) []Message {
+	for _, h := range l.hosts {
+		if h.Address != "" && l.peers[h.Address] == nil {
+			l.peers[h.Address] = &peerState{}
+		}
+	}
+	var messages []Message
+	for address, p := range l.peers {
+		if address == l.self || now.Before(p.nextClaim) {
+			continue
+		}
+		p.nextClaim = now.Add(claimInterval)
+		messages = append(messages, l.message(now, address, false))
+	}
+	return messages
+}
+
+func (l *Lender) message(now time.Time, to string, release bool) Message {
+	l.number++
+	held, _ := l.Held(now)
+	return Message{To: to, SentAt: now, Claim: Claim{From: l.self, Run: l.run, Number: l.number, Hosts: l.hostCount, Held: held, Release: release}}
+}
+
+// HandleReply records the answer to a claim. It returns releases if another lender has more
+// shares.
+func (l *Lender) HandleReply(now time.Time, m Message, reply ClaimReply) []Message {
+	l.hostCount = max(l.hostCount, reply.Hosts)
+	p := l.peers[m.To]
+	if !l.lending || p == nil || m.SentAt.Before(l.pool.began) {
+		return nil
+	}
+	l.refresh(now)
+	if reply.Granted {
+		if until := m.SentAt.Add(grantTime); until.After(p.grantedUntil) {
+			p.grantedUntil = until
+		}
+		l.refresh(now)
+		return nil
+	}
+	if reply.Lender != "" {
+		p.nextClaim = minTime(p.nextClaim, now.Add(grantedElsewhereRetry))
+	}
+	held, _ := l.Held(now)
+	if reply.Lender == m.To && precedes(reply.Held, m.To, held, l.self) {
+		messages := l.StepDown(now)
+		l.hint = grant{to: m.To, until: now.Add(grantTime)}
+		return messages
+	}
+	return nil
+}
+
+// StepDown ends the lending of this host and returns messages that free the shares that it held.
+func (l *Lender) StepDown(now time.Time) []Message {
+	if !l.lending {
+		return nil
+	}
+	var messages []Message
+	for address, p := range l.peers {
+		if address != l.self && now.Before(p.grantedUntil) {
+			messages = append(messages, l.message(now, address, true))
+		}
+	}
+	l.lending = false
+	l.peers = map[string]*peerState{}
+	l.pool = newPool(l.bounds)
+	l.grant.until = now
+	return messages
+}
+
+// Lend lends tokens of an account: one for each request that waits, and some for those expected
+// soon. It returns false if this host isn't the lender.
+func (l *Lender) Lend(now time.Time, account string, q Quota, waiting, expected int) (Loan, bool) {
+	if !l.lending {
+		return Loan{}, false
+	}
+	l.refresh(now)
+	if l.pool.share == 0 {
+		return Loan{}, false
+	}
+	return l.pool.lend(now, account, q, max(waiting, 0), max(expected, 0)), true
+}
+
+// Accounts returns the number of accounts with a token bucket.
+func (l *Lender) Accounts() int { return len(l.pool.buckets) }
--- a/routing/accounts.go
+++ b/routing/accounts.go
@@ -1,6 +1,9 @@
 package routing
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"slices"
+)
 
 // Account is a client account: a group of callers that share keys, a priority and a quota.
 type Account struct {
@@ -16,6 +19,9 @@
 	Burst             float64
 }
 
+// HasQuota reports whether the requests of the account are limited.
+func (a Account) HasQuota() bool { return a.RequestsPerSecond > 0 }
+
 // keyDigest is the hash of an API key. Looking a key up by its hash takes a time that does not
 // depend on how much of it is right, and the table holds no key in plain text.
 type keyDigest [sha256.Size]byte
@@ -27,6 +33,7 @@
 	for i := range accounts {
 		keys += len(accounts[i].Keys)
 	}
+	t.hasQuotas = slices.ContainsFunc(accounts, Account.HasQuota)
 	t.accounts = make(map[string]*Account, len(accounts))
 	t.accountByKey = make(map[keyDigest]*Account, keys)
 	for i := range accounts {
@@ -46,6 +53,9 @@
 // HasAccounts reports whether requests need the key of an account, except on public routes.
 func (t *Table) HasAccounts() bool { return len(t.accounts) > 0 }
 
+// HasQuotas reports whether an account has a quota.
+func (t *Table) HasQuotas() bool { return t.hasQuotas }
+
 // Account returns the account with a name.
 func (t *Table) Account(name string) (*Account, bool) {
 	a, ok := t.accounts[name]
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -73,6 +73,7 @@
 	routes       []Route
 	accounts     map[string]*Account // by name; nil if the configuration has none
 	accountByKey map[keyDigest]*Account
+	hasQuotas    bool
 }
 
 // New returns the table of one version of the configuration.
