quota: fresh grants bring tokens at once; grants of 600 ms

A lender that takes over began with empty buckets, so that the first requests of every account were refused. A host's share now comes with tokens if it has not brought any for a window and more, paid from the slack of the bounds.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -21,7 +21,7 @@
 	// quotaTick is the interval between checks of what is due.
 	quotaTick = 50 * time.Millisecond
 	// claimTimeout is the timeout of a claim. A later answer is of little use.
-	claimTimeout = 300 * time.Millisecond
+	claimTimeout = 200 * time.Millisecond
 	// borrowTimeout is the timeout of a call for tokens, and borrowRetryDelay the wait after a
 	// failed one.
 	borrowTimeout    = 150 * time.Millisecond
@@ -143,7 +143,10 @@
 		return refusal(verdictOverQuota, retryAfter, "the request has not run: the account is over its quota"), true
 	}
 	q.unknown.Inc(1)
-	return out.refuseUnsent(route, refusedRetryAfter(route), "the account's quota is not known at the moment"), true
+	q.mu.Lock()
+	vacancy := q.lender.Vacancy(bootTime())
+	q.mu.Unlock()
+	return out.refuseUnsent(route, max(vacancy, refusedRetryAfter(route)), "no host lends tokens of the account's quota at the moment"), true
 }
 
 // request returns the outcome of a request. It is quota.Wait if it isn't known after maxWait.
--- a/internal/entry/quota_wire.go
+++ b/internal/entry/quota_wire.go
@@ -29,6 +29,7 @@
 // claimReply carries a quota.ClaimReply.
 type claimReply struct {
 	Granted bool   `json:"g,omitempty"`
+	Fresh   bool   `json:"f,omitempty"`
 	Hosts   int    `json:"h"`
 	Lender  string `json:"l,omitempty"`
 	Held    int    `json:"s,omitempty"`
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -11,11 +11,11 @@
 const (
 	// grantTime is how long a host's grant of its share holds. After a lender has failed, no
 	// other host may lend the shares that it held for this long.
-	grantTime = time.Second
+	grantTime = 600 * time.Millisecond
 	// claimInterval is the time between a lender's claims of a share. Two claims in a row may
 	// be lost. A share that is granted to another lender is claimed again after
 	// grantedElsewhereRetry.
-	claimInterval         = 300 * time.Millisecond
+	claimInterval         = 200 * time.Millisecond
 	grantedElsewhereRetry = 100 * time.Millisecond
 	// rankDelay is the time between the moments at which a host and the next one in the order
 	// of candidates claim the shares of a lender that has failed. It is longer than a call.
@@ -47,6 +47,9 @@
 // ClaimReply answers a claim.
 type ClaimReply struct {
 	Granted bool
+	// Fresh is set if the share comes with tokens at once: the host has not granted any that did
+	// for long enough.
+	Fresh bool
 	// Hosts is the number of hosts that the host knows.
 	Hosts int
 	// Lender is the host that has the share, if it wasn't granted; empty if there is none.
@@ -86,6 +89,7 @@
 type peerState struct {
 	grantedUntil time.Time
 	nextClaim    time.Time
+	freshNumber  uint64 // of the last claim that got a fresh grant
 }
 
 // Lender decides to whom this host grants its share, and lends the tokens of the shares that
@@ -97,9 +101,12 @@
 
 	// mayGrantFrom is when a grant of an earlier process of this host has ended.
 	mayGrantFrom time.Time
-	hosts        []Host
-	rank         int // of this host among the candidates
-	hostCount    int // the largest number of hosts that is known here
+	// lastFresh is the time of the last fresh grant, or of the process's start: an earlier
+	// process may have granted until then.
+	lastFresh time.Time
+	hosts     []Host
+	rank      int // of this host among the candidates
+	hostCount int // the largest number of hosts that is known here
 
 	grant   grant
 	hint    grant // a lender that works without this host's share
@@ -114,7 +121,7 @@
 // earlier process of the host.
 func NewLender(now time.Time, self string, run uint64, bounds Bounds) *Lender {
 	return &Lender{
-		self: self, run: run, bounds: bounds, mayGrantFrom: now.Add(grantTime),
+		self: self, run: run, bounds: bounds, mayGrantFrom: now.Add(grantTime), lastFresh: now,
 		peers: map[string]*peerState{}, pool: newPool(bounds),
 	}
 }
@@ -148,6 +155,22 @@
 	return ""
 }
 
+// Vacancy returns how long it may take until a host is known that lends tokens.
+func (l *Lender) Vacancy(now time.Time) time.Duration {
+	return max(l.lastLender().Sub(now), 0) + 2*rankDelay
+}
+
+// lastLender returns until when another host may be the lender.
+func (l *Lender) lastLender() time.Time {
+	last := l.mayGrantFrom
+	for _, t := range []time.Time{l.grant.until, l.hint.until} {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
 // Held returns the number of shares that this host holds as a lender, and the number of all.
 func (l *Lender) Held(now time.Time) (held, all int) {
 	if !l.lending {
@@ -207,6 +230,7 @@
 	case l.grant.to == c.From && l.grant.run == c.Run && c.Number <= l.grant.number:
 		// An older message. The lender may have released the share since.
 	default:
+		reply.Fresh = !(granted && l.grant.run == c.Run) && l.takeFresh(now)
 		mixed := granted && (l.grant.mixed || l.grant.run != c.Run)
 		l.grant = grant{to: c.From, run: c.Run, number: c.Number, mixed: mixed, until: now.Add(grantTime)}
 		reply.Granted = true
@@ -214,6 +238,15 @@
 	return reply
 }
 
+// takeFresh reports whether a new grant is fresh, and records it.
+func (l *Lender) takeFresh(now time.Time) bool {
+	if now.Sub(l.lastFresh) < l.bounds.freshInterval() {
+		return false
+	}
+	l.lastFresh = now
+	return true
+}
+
 // released ends the grant to a lender that no longer uses the share.
 func (l *Lender) released(now time.Time, c Claim) {
 	if l.grant.to == c.From && l.grant.run == c.Run && !l.grant.mixed && c.Number > l.grant.number {
@@ -254,21 +287,23 @@
 // begin makes this host the lender if there is none and all candidates before it had time to
 // become it.
 func (l *Lender) begin(now time.Time) bool {
-	last := l.mayGrantFrom
-	for _, t := range []time.Time{l.grant.until, l.hint.until} {
-		if t.After(last) {
-			last = t
-		}
-	}
-	if len(l.hosts) == 0 || now.Before(last.Add(time.Duration(l.rank)*rankDelay)) {
+	if len(l.hosts) == 0 || now.Before(l.lastLender().Add(time.Duration(l.rank)*rankDelay)) {
 		return false
 	}
 	l.lending = true
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
+	l.grantToSelf(now)
+	l.refresh(now)
+	if l.takeFresh(now) {
+		l.pool.addFresh(l.shareOfOne())
+	}
 	return true
 }
 
+// shareOfOne returns the part of the quotas that belongs to one host.
+func (l *Lender) shareOfOne() float64 { return 1 / float64(max(l.hostCount, 1)) }
+
 // grantToSelf renews the grant of this host's own share.
 func (l *Lender) grantToSelf(now time.Time) {
 	until := now.Add(grantTime)
@@ -314,6 +349,10 @@
 			p.grantedUntil = until
 		}
 		l.refresh(now)
+		if reply.Fresh && now.Before(p.grantedUntil) && m.Claim.Number > p.freshNumber {
+			p.freshNumber = m.Claim.Number
+			l.pool.addFresh(l.shareOfOne())
+		}
 		return nil
 	}
 	if reply.Lender != "" {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -21,9 +21,9 @@
 	share float64
 	began time.Time // when the share rose from 0
 	at    time.Time
-	// elapsed and start are the integrals of the share over the time since began and over the
-	// first window, in seconds.
-	elapsed, start float64
+	// elapsed is the integral of the share over the time since began, in seconds, and fresh the
+	// sum of the fresh shares that were added.
+	elapsed, fresh float64
 
 	drops    []drop
 	nextDrop uint64
@@ -34,19 +34,18 @@
 type drop struct {
 	number         uint64
 	share          float64 // after it
-	elapsed, start float64
+	elapsed, fresh float64
 }
 
 // bucket is the token bucket of an account that has lent tokens. An account without one has an
 // unused bucket, which was empty when the pool began.
 type bucket struct {
 	level          float64
-	elapsed, start float64 // of the pool when level was right
+	elapsed, fresh float64 // of the pool when level was right
 	nextDrop       uint64
 	// refused is the number of refusals lately, for the time that they need.
 	refused   float64
 	refusedAt time.Time
-	lastUse   time.Time
 }
 
 func newPool(bounds Bounds) *pool { return &pool{bounds: bounds, buckets: map[string]*bucket{}} }
@@ -64,9 +63,6 @@
 	lowest := min(share, p.share)
 	if now.After(p.at) {
 		p.elapsed += lowest * now.Sub(p.at).Seconds()
-		if startEnd := p.began.Add(p.bounds.Window); p.at.Before(startEnd) {
-			p.start += lowest * min(now.Sub(p.at), startEnd.Sub(p.at)).Seconds()
-		}
 		p.at = now
 	}
 	if share < p.share {
@@ -75,6 +71,9 @@
 	p.share = share
 }
 
+// addFresh adds the tokens that come with the fresh grant of a share.
+func (p *pool) addFresh(share float64) { p.fresh += share }
+
 // addDrop records that the share falls. It merges the two oldest drops if there are too many, into
 // one that leaves no bucket with more than either.
 func (p *pool) addDrop(share float64) {
@@ -82,40 +81,40 @@
 		p.drops[1].share = min(p.drops[0].share, p.drops[1].share)
 		p.drops = append(p.drops[:0], p.drops[1:]...)
 	}
-	p.drops = append(p.drops, drop{number: p.nextDrop, share: share, elapsed: p.elapsed, start: p.start})
+	p.drops = append(p.drops, drop{number: p.nextDrop, share: share, elapsed: p.elapsed, fresh: p.fresh})
 	p.nextDrop++
 }
 
 // levelOf returns the content of a bucket now.
 func (p *pool) levelOf(b *bucket, size bucketSize) float64 {
-	grown := func(elapsed, start float64) float64 {
-		return size.rate*(p.elapsed-elapsed) + size.startRate*(p.start-start)
+	grown := func(elapsed, fresh float64) float64 {
+		return size.rate*(p.elapsed-elapsed) + size.fresh*(p.fresh-fresh)
 	}
-	level := min(b.level+grown(b.elapsed, b.start), size.depth*p.share)
+	level := min(b.level+grown(b.elapsed, b.fresh), size.depth*p.share)
 	for _, d := range p.drops {
 		if d.number >= b.nextDrop {
-			level = min(level, size.depth*d.share+grown(d.elapsed, d.start))
+			level = min(level, size.depth*d.share+grown(d.elapsed, d.fresh))
 		}
 	}
 	return level
 }
 
 // bucketOf returns the bucket of an account, brought up to date.
-func (p *pool) bucketOf(now time.Time, account string, size bucketSize) *bucket {
+func (p *pool) bucketOf(account string, size bucketSize) *bucket {
 	b := p.buckets[account]
 	if b == nil {
 		b = &bucket{}
 		p.buckets[account] = b
 	}
 	b.level = p.levelOf(b, size)
-	b.elapsed, b.start, b.nextDrop, b.lastUse = p.elapsed, p.start, p.nextDrop, now
+	b.elapsed, b.fresh, b.nextDrop = p.elapsed, p.fresh, p.nextDrop
 	return b
 }
 
 // lend takes tokens for the requests that wait and, if enough are left, for those expected soon.
 func (p *pool) lend(now time.Time, account string, q Quota, waiting, expected int) Loan {
 	size := p.bounds.size(q)
-	b := p.bucketOf(now, account, size)
+	b := p.bucketOf(account, size)
 	whole := int(b.level)
 	tokens := min(whole, waiting)
 	// The rest of the bucket is for the other hosts too.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -40,8 +40,8 @@
 	overageForLife = 0.5
 	overageForRate = 0.25
 	// slackForBurst is the share of the slack that adds to the burst: callers' requests arrive
-	// less evenly than they were sent. slackForStart is the share that a new lender lends in
-	// its first window, because it doesn't know how much of a burst is left.
+	// less evenly than they were sent. slackForStart is the share that new lenders lend at once,
+	// because they don't know how much of a burst is left.
 	slackForBurst = 0.25
 	slackForStart = 0.5
 )
@@ -52,24 +52,28 @@
 	return min(max(life, minTokenLife), maxTokenLife)
 }
 
-// bucket describes the token bucket that keeps a quota within the bounds.
+// freshInterval is the shortest time between two fresh grants of a host. The tokens that come with
+// them are then never in the same window, however late the grants' answers arrive.
+func (b Bounds) freshInterval() time.Duration { return b.Window + b.TokenLife() + grantTime }
+
+// bucketSize describes the token buckets that keep a quota within the bounds.
 type bucketSize struct {
-	rate      float64 // tokens per second
-	startRate float64 // more tokens per second in the first window of a lender
-	depth     float64
+	rate  float64 // tokens per second
+	depth float64
+	fresh float64 // tokens that come with fresh grants of all hosts
 }
 
 // size returns the token bucket of a quota. Tokens used in a window were lent in the window or in
-// the life of a token before it: at most depth + (rate + startRate) x (Window + TokenLife), which
-// is within the bounds.
+// the life of a token before it: at most depth + fresh + rate x (Window + TokenLife), which is
+// within the bounds.
 func (b Bounds) size(q Quota) bucketSize {
 	lending := (b.Window + b.TokenLife()).Seconds()
 	limit := (q.RequestsPerSecond*b.Window.Seconds()+q.Burst)*(1+b.Overage) + b.Slack
 	s := bucketSize{
-		startRate: slackForStart * b.Slack / lending,
-		depth:     max(1, q.Burst*(1+overageForRate*b.Overage)+slackForBurst*b.Slack),
+		depth: max(1, q.Burst*(1+overageForRate*b.Overage)+slackForBurst*b.Slack),
+		fresh: slackForStart * b.Slack,
 	}
-	s.rate = min(q.RequestsPerSecond*(1+overageForRate*b.Overage), (limit-s.depth)/lending-s.startRate)
+	s.rate = min(q.RequestsPerSecond*(1+overageForRate*b.Overage), (limit-s.depth-s.fresh)/lending)
 	s.rate = max(s.rate, 0)
 	return s
 }
