quota: tests of the shares, the bounds, small accounts, failures and changes of quotas

A new lender waits 30 ms for shares before it refuses. The model also checks that no share is held twice and that all lenders together hold no more than one bucket.

--- a/quota/lender.go
+++ b/quota/lender.go
@@ -20,6 +20,8 @@
 	// rankDelay is the time between the moments at which a host and the next one in the order
 	// of candidates claim the shares of a lender that has failed. It is longer than a call.
 	rankDelay = 50 * time.Millisecond
+	// settleTime is how long a new lender waits for shares before it lends or refuses.
+	settleTime = 30 * time.Millisecond
 	// forgetInterval is the time between removals of buckets that are full.
 	forgetInterval = 5 * time.Second
 )
@@ -122,6 +124,7 @@
 	grant   grant
 	hint    grant // a lender that works without this host's share
 	lending bool
+	began   time.Time // when this host became the lender
 	peers   map[string]*peerState
 	pool    *pool
 	number  uint64
@@ -305,7 +308,7 @@
 	if len(l.hosts) == 0 || now.Before(l.lastLender().Add(time.Duration(l.rank)*rankDelay)) {
 		return false
 	}
-	l.lending = true
+	l.lending, l.began = true, now
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
 	l.grantToSelf(now)
@@ -376,7 +379,7 @@
 		return nil
 	}
 	p := l.peers[m.To]
-	if !l.lending || p == nil || m.SentAt.Before(l.pool.began) {
+	if !l.lending || p == nil || m.SentAt.Before(l.began) {
 		return nil
 	}
 	l.refresh(now)
@@ -424,7 +427,7 @@
 // Lend lends tokens of an account: one for each request that waits, and some for those expected
 // soon. It returns false if this host isn't the lender.
 func (l *Lender) Lend(now time.Time, account string, q Quota, waiting, expected int) (Loan, bool) {
-	if !l.lending {
+	if !l.lending || now.Sub(l.began) < settleTime && len(l.hosts) > 1 {
 		return Loan{}, false
 	}
 	l.refresh(now)
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -38,16 +38,21 @@
 	hosts    []*simHost
 	messages []delivery
 	request  uint64
-	lossPart float64
-	admitted []time.Time
-	// asked and refused count requests, and undecided those that wait without an answer.
+	arrived  map[uint64]time.Time // by request
+	// lossPart is the part of messages that are lost, late or duplicated, and disturbPart that of
+	// steps with a disturbance.
+	lossPart, disturbPart float64
+	admitted              []time.Time
+	lentAt                map[time.Time]time.Time // by the end of a token's life
+	err                   error
+	// asked and refused count requests.
 	asked, refused int
 }
 
 const simStep = 10 * time.Millisecond
 
 func newSim(seed uint64, hosts int, bounds Bounds, q Quota) *sim {
-	s := &sim{bounds: bounds, quota: q, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1))}
+	s := &sim{bounds: bounds, quota: q, now: time.Unix(1000, 0), arrived: map[uint64]time.Time{}, lentAt: map[time.Time]time.Time{}, random: rand.New(rand.NewPCG(seed, 1))}
 	for range hosts {
 		s.hosts = append(s.hosts, &simHost{address: fmt.Sprintf("h%02d", len(s.hosts))})
 	}
@@ -140,40 +145,56 @@
 
 // ask sends an ask of a host to its lender.
 func (s *sim) ask(h *simHost, ask Ask) {
+	process, answered := h.lender, false
+	finish := func(run func()) func() {
+		return func() {
+			if !answered && h.lender == process {
+				answered = true
+				run()
+			}
+		}
+	}
+	failed := finish(func() { s.retry(h, ask) })
+	s.messages = append(s.messages, delivery{at: s.now.Add(150 * time.Millisecond), to: h, run: failed})
 	lender := s.find(h.lender.Current(s.now))
 	if lender == nil {
-		s.drop(h, ask)
+		failed()
 		return
 	}
-	answered := false
 	s.later(h, lender, func() {
 		loan, ok := lender.lender.Lend(s.now, ask.Account, s.quota, ask.Waiting, ask.Expected)
 		if !ok {
+			s.later(lender, h, failed)
 			return
 		}
-		s.later(lender, h, func() {
-			if answered { // calls have one answer
-				return
-			}
-			answered = true
+		lentAt := s.now
+		s.later(lender, h, finish(func() {
+			s.lentAt[ask.SentAt.Add(s.bounds.TokenLife())] = lentAt
 			s.answer(h, ask, loan)
-		})
+		}))
 	})
-	s.messages = append(s.messages, delivery{at: s.now.Add(150 * time.Millisecond), to: h, run: func() {
-		if !answered {
-			answered = true
-			s.drop(h, ask)
-		}
-	}})
 }
 
-// drop ends the wait of all requests for which an ask got no answer.
-func (s *sim) drop(h *simHost, ask Ask) {
+// maxWait is how long requests wait for a token.
+const maxWait = 150 * time.Millisecond
+
+// retry asks again, unless the requests that wait give up.
+func (s *sim) retry(h *simHost, ask Ask) {
 	h.borrower.Failed(ask)
-	if a := h.borrower.accounts[ask.Account]; a != nil {
-		s.refused += len(a.waiting)
-		a.waiting = nil
+	a := h.borrower.accounts[ask.Account]
+	for len(a.waiting) > 0 && s.now.Sub(s.arrived[a.waiting[0]]) >= maxWait {
+		h.borrower.Abandon(ask.Account, a.waiting[0])
+		s.refused++
 	}
+	borrower := h.borrower
+	s.messages = append(s.messages, delivery{at: s.now.Add(20 * time.Millisecond), to: h, run: func() {
+		if h.borrower != borrower {
+			return
+		}
+		if next, ok := borrower.Retry(s.now, ask.Account); ok {
+			s.ask(h, next)
+		}
+	}})
 }
 
 func (s *sim) answer(h *simHost, ask Ask, loan Loan) {
@@ -198,6 +219,51 @@
 		}
 	default:
 		s.admitted = append(s.admitted, s.now)
+		if lent, ok := s.lentAt[o.UsableUntil]; !ok || s.now.Sub(lent) >= s.bounds.TokenLife() {
+			s.fail("a token is used %v after it was lent", s.now.Sub(lent))
+		}
+	}
+}
+
+// fail records the first violation.
+func (s *sim) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf("at %v: "+format, append([]any{s.now.Sub(time.Unix(1000, 0))}, args...)...)
+	}
+}
+
+// checkShares checks what the bounds rest on: no share is held by two lenders, and the buckets of
+// all lenders together hold no more than one bucket of the quota.
+func (s *sim) checkShares() {
+	const rounding = 1e-6
+	holders := map[string]string{}
+	shares, level := 0.0, 0.0
+	for _, h := range s.hosts {
+		if !h.alive || !h.lender.lending {
+			continue
+		}
+		for address, p := range h.lender.peers {
+			if !s.now.Before(p.grantedUntil) {
+				continue
+			}
+			if other := holders[address]; other != "" {
+				s.fail("%s and %s hold the share of %s", other, h.address, address)
+			}
+			holders[address] = h.address
+		}
+		h.lender.refresh(s.now)
+		shares += h.lender.pool.share
+		if b := h.lender.pool.buckets["acme"]; b != nil {
+			level += h.lender.pool.levelOf(b, s.bounds.size(s.quota))
+		} else {
+			level += h.lender.pool.levelOf(&bucket{}, s.bounds.size(s.quota))
+		}
+	}
+	if shares > 1+rounding {
+		s.fail("the lenders hold %f of all shares", shares)
+	}
+	if depth := s.bounds.size(s.quota).depth; level > depth+rounding {
+		s.fail("the lenders hold %f tokens, %f are allowed", level, depth)
 	}
 }
 
@@ -205,6 +271,7 @@
 func (s *sim) request1(h *simHost) {
 	s.asked++
 	s.request++
+	s.arrived[s.request] = s.now
 	o, ask, send := h.borrower.Request(s.now, "acme", s.request)
 	if o.Verdict != Wait {
 		s.decide(h, "acme", o)
@@ -259,27 +326,32 @@
 func TestNoWindowExceedsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bounds := Bounds{
-			Window:  rapid.SampledFrom([]time.Duration{2 * time.Second, 5 * time.Second}).Draw(t, "window"),
-			Overage: rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "overage"),
-			Slack:   rapid.SampledFrom([]float64{0, 5, 20}).Draw(t, "slack"),
+			Window:  rapid.SampledFrom([]time.Duration{time.Second, 2 * time.Second}).Draw(t, "window"),
+			Overage: rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "overage"),
+			Slack:   rapid.SampledFrom([]float64{0, 20}).Draw(t, "slack"),
 		}
 		q := Quota{
-			RequestsPerSecond: rapid.SampledFrom([]float64{0.5, 5, 40}).Draw(t, "rate"),
-			Burst:             rapid.SampledFrom([]float64{0, 5, 40}).Draw(t, "burst"),
+			RequestsPerSecond: rapid.SampledFrom([]float64{0.5, 40, 100}).Draw(t, "rate"),
+			Burst:             rapid.SampledFrom([]float64{0, 40}).Draw(t, "burst"),
 		}
-		hosts := rapid.IntRange(1, 9).Draw(t, "hosts")
-		s := newSim(rapid.Uint64().Draw(t, "seed"), hosts, bounds, q)
-		s.lossPart = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
-		steps := rapid.IntRange(200, 1500).Draw(t, "steps")
-		for range steps {
-			s.disturb()
-			// Many times the quota, from all hosts.
-			for range 1 + int(3*q.RequestsPerSecond*simStep.Seconds()) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 9).Draw(t, "hosts"), bounds, q)
+		s.lossPart = rapid.SampledFrom([]float64{0.02, 0.2}).Draw(t, "loss")
+		s.disturbPart = rapid.SampledFrom([]float64{0.01, 0.05}).Draw(t, "disturbances")
+		for range rapid.IntRange(500, 1500).Draw(t, "steps") {
+			if s.random.Float64() < s.disturbPart {
+				s.disturb()
+			}
+			// Several times the quota, from all hosts.
+			for range 1 + int(4*q.RequestsPerSecond*simStep.Seconds()) {
 				if h := s.hosts[s.random.IntN(len(s.hosts))]; h.alive && !h.paused {
 					s.request1(h)
 				}
 			}
 			s.step()
+			s.checkShares()
+		}
+		if s.err != nil {
+			t.Fatal(s.err)
 		}
 		if err := s.checkWindows(); err != nil {
 			t.Fatal(err)
@@ -287,33 +359,39 @@
 	})
 }
 
-// disturb sometimes kills, starts, pauses or cuts off a host.
+// disturb kills, starts, pauses or cuts off hosts.
 func (s *sim) disturb() {
-	if s.random.Float64() > 0.01 {
-		return
-	}
 	h := s.hosts[s.random.IntN(len(s.hosts))]
 	if lender := s.find(h.lender.Current(s.now)); lender != nil && s.random.IntN(2) == 0 {
 		h = lender
 	}
-	switch s.random.IntN(7) {
+	switch s.random.IntN(8) {
 	case 0:
 		h.alive = false
-	case 1:
+	case 1, 2:
 		s.start(h)
-	case 2:
-		h.paused = true
 	case 3:
-		h.paused = false
+		h.paused = true
 	case 4:
-		h.side = 1 - h.side
+		for _, h := range s.hosts {
+			h.paused = false
+		}
 	case 5:
+		s.cut(1 + s.random.IntN(2))
+	case 6:
 		if h.alive && !h.paused {
 			s.send(h, h.lender.StepDown(s.now))
 		}
-	case 6:
+	case 7:
 		if len(s.hosts) < 12 {
 			s.join()
 		}
 	}
 }
+
+// cut divides the hosts at random into sides.
+func (s *sim) cut(sides int) {
+	for _, h := range s.hosts {
+		h.side = s.random.IntN(sides)
+	}
+}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -19,9 +19,8 @@
 	bounds Bounds
 
 	share float64
-	began time.Time // when the share rose from 0
 	at    time.Time
-	// elapsed is the integral of the share over the time since began, in seconds, and fresh the
+	// elapsed is the integral of the share over the time since it rose from 0, in seconds, and fresh the
 	// sum of the fresh shares that were added.
 	elapsed, fresh float64
 
@@ -57,7 +56,7 @@
 		return
 	}
 	if p.share == 0 {
-		p.began, p.at = now, now
+		p.at = now
 	}
 	// The share between two calls is at least the smaller one.
 	lowest := min(share, p.share)
@@ -148,7 +147,7 @@
 	if !(seconds < maxRoomIn.Seconds()) {
 		return maxRoomIn
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(seconds*float64(time.Second)) + time.Microsecond // covers rounding errors
 }
 
 // forget removes the buckets that hold as much as an unused one would. The quota of an account
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,273 @@
+package quota
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+var standardBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// run plays a time in which callers ask at some of the hosts whenever next returns true.
+func (s *sim) run(t time.Duration, callers int, next func() bool) {
+	for end := s.now.Add(t); s.now.Before(end); {
+		for next() {
+			s.request1(s.hosts[s.random.IntN(callers)])
+		}
+		s.step()
+	}
+}
+
+// conforming returns requests that arrive at random, twice as many as the quota, of which only
+// those are made that a token bucket of the quota admits.
+func conforming(s *sim) func() bool {
+	level, at := s.quota.Burst, s.now
+	return func() bool {
+		if s.random.Float64() > min(0.9, 2*s.quota.RequestsPerSecond*simStep.Seconds()) {
+			return false
+		}
+		level = min(level+s.quota.RequestsPerSecond*s.now.Sub(at).Seconds(), s.quota.Burst)
+		at = s.now
+		if level < 1 {
+			return false
+		}
+		level--
+		return true
+	}
+}
+
+// Guards against requests below the quota that are refused because the tokens are at other hosts.
+func TestRequestsBelowQuotaAreServed(t *testing.T) {
+	const hosts = 73
+	for _, c := range []struct {
+		name    string
+		quota   Quota
+		callers int
+	}{
+		{"few hosts", Quota{40, 40}, 3},
+		{"one host", Quota{40, 40}, 1},
+		{"all hosts", Quota{40, 40}, hosts},
+		{"all hosts, small account", Quota{0.3, 1}, hosts},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, hosts, standardBounds, c.quota)
+			s.run(10*time.Second, c.callers, func() bool { return false })
+			s.run(60*time.Second, c.callers, conforming(s))
+			if s.refused > 0 || s.asked < int(40*c.quota.RequestsPerSecond) {
+				t.Errorf("%d of %d requests refused", s.refused, s.asked)
+			}
+		})
+	}
+}
+
+// always returns n requests in each step.
+func always(n int) func() bool {
+	left := n
+	return func() bool {
+		if left--; left < 0 {
+			left = n
+			return false
+		}
+		return true
+	}
+}
+
+// Guards against a changed quota that binds late.
+func TestChangedQuotaBindsAtOnce(t *testing.T) {
+	s := newSim(1, 10, standardBounds, Quota{50, 50})
+	perWindow := func() int {
+		before := len(s.admitted)
+		s.run(standardBounds.Window, 10, always(3))
+		return len(s.admitted) - before
+	}
+	s.run(10*time.Second, 10, always(3))
+	for _, q := range []Quota{{5, 5}, {100, 100}, {20, 0}, {50, 50}} {
+		s.quota = q
+		want := int(q.RequestsPerSecond * standardBounds.Window.Seconds())
+		if got := perWindow(); got < want*9/10 || got > want*11/10+int(q.Burst+standardBounds.Slack) {
+			t.Errorf("%d requests in the first window of %+v, want about %d", got, q, want)
+		}
+	}
+}
+
+// Guards against a quota that stays without a lender, or with a part of the shares, after the
+// lender has failed or a data centre was cut off.
+func TestOtherHostLendsAfterFailure(t *testing.T) {
+	const hosts, cutOff = 20, 5
+	s := newSim(1, hosts, standardBounds, Quota{40, 40})
+	demand := always(1)
+	served := func(t time.Duration) float64 {
+		before := len(s.admitted)
+		s.run(t, hosts, demand)
+		return float64(len(s.admitted)-before) / t.Seconds() / s.quota.RequestsPerSecond
+	}
+	s.run(10*time.Second, hosts, demand)
+	lender := s.find(s.hosts[0].lender.Current(s.now))
+	s.start(lender)
+	served(grantTime + 3*rankDelay + grantedElsewhereRetry)
+	if got := served(4 * time.Second); got < 0.9 {
+		t.Errorf("served %.2f of the quota after a restart of the lender", got)
+	}
+	for i := range cutOff {
+		s.hosts[i].side = 1
+	}
+	served(2 * grantTime)
+	if got := served(4 * time.Second); got < 0.9 {
+		t.Errorf("served %.2f of the quota on both sides of a cut", got)
+	}
+	s.cut(1)
+	served(2 * grantTime)
+	if got := served(4 * time.Second); got < 0.95 {
+		t.Errorf("served %.2f of the quota after the cut", got)
+	}
+	if err := s.checkWindows(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a planned stop of the lender after which requests are refused.
+func TestStepDownHandsOverAtOnce(t *testing.T) {
+	s := newSim(1, 20, standardBounds, Quota{40, 40})
+	s.run(10*time.Second, 20, always(0))
+	lender := s.find(s.hosts[0].lender.Current(s.now))
+	s.send(lender, lender.lender.StepDown(s.now))
+	lender.alive = false
+	s.run(3*rankDelay+20*time.Millisecond, 20, always(0))
+	next := s.hosts[0].lender.Current(s.now)
+	if next == "" || next == lender.address {
+		t.Fatalf("%q lends after the handover", next)
+	}
+	before := len(s.admitted)
+	s.run(100*time.Millisecond, 20, always(1))
+	if len(s.admitted) == before || s.refused > 0 {
+		t.Errorf("%d admitted and %d refused after the handover", len(s.admitted)-before, s.refused)
+	}
+}
+
+// Guards against a new host that serves no request until the lender has read the list again.
+func TestNewHostFindsLender(t *testing.T) {
+	s := newSim(1, 10, standardBounds, Quota{40, 40})
+	s.run(10*time.Second, 10, always(0))
+	s.join()
+	h := s.hosts[10]
+	s.run(grantTime, 10, always(0))
+	if got, want := h.lender.Current(s.now), s.hosts[0].lender.Current(s.now); got != want || got == h.address {
+		t.Errorf("a new host borrows from %q, the others from %q", got, want)
+	}
+}
+
+// Guards against callers that are all told to come back at the same time, or before the account
+// has room.
+func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
+	p := newPool(standardBounds)
+	p.setShare(time.Unix(1000, 0), 1)
+	now := time.Unix(1100, 0)
+	p.setShare(now, 1)
+	q := Quota{10, 10}
+	if got := p.lend(now, "acme", q, 15, 0); got.Tokens != 15 || got.RoomIn != 0 {
+		t.Fatalf("%+v of a full bucket", got)
+	}
+	first, later := p.lend(now, "acme", q, 1, 0), p.lend(now, "acme", q, 20, 0)
+	if first.Tokens != 0 || first.RoomIn <= 0 || first.RoomIn > 100*time.Millisecond {
+		t.Errorf("%+v of an empty bucket", first)
+	}
+	if later.Spread < 1900*time.Millisecond || later.Spread > 2200*time.Millisecond {
+		t.Errorf("21 refused requests return within %v at 10 a second", later.Spread)
+	}
+	p.setShare(now.Add(first.RoomIn), 1)
+	if got := p.lend(now.Add(first.RoomIn), "acme", q, 1, 0); got.Tokens != 1 {
+		t.Errorf("no room at the stated time: %+v", got)
+	}
+}
+
+// Guards against state that grows with accounts that are idle.
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p, b := newPool(standardBounds), NewBorrower(standardBounds)
+	p.setShare(now, 1)
+	now = now.Add(time.Minute)
+	p.setShare(now, 1)
+	for i := range 100 {
+		name := fmt.Sprint("account-", i)
+		p.lend(now, name, Quota{5, 5}, 1, 0)
+		_, ask, _ := b.Request(now, name, uint64(i))
+		b.Answer(now, ask, Loan{Tokens: 1})
+	}
+	now = now.Add(time.Minute)
+	p.setShare(now, 1)
+	p.forget(func(string) Quota { return Quota{5, 5} })
+	b.Request(now, "other", 1000)
+	if len(p.buckets) != 0 || b.Accounts() != 1 {
+		t.Errorf("%d buckets and %d balances are left", len(p.buckets), b.Accounts())
+	}
+}
+
+// Guards against the token of a request that did not run being lost, or used after its life.
+func TestReturnedTokenServesNextRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBorrower(standardBounds)
+	_, ask, _ := b.Request(now, "acme", 1)
+	outcomes, _, _ := b.Answer(now, ask, Loan{Tokens: 1})
+	until := outcomes[0].UsableUntil
+	b.Return(now.Add(10*time.Millisecond), "acme", until)
+	if o, _, _ := b.Request(now.Add(20*time.Millisecond), "acme", 2); o.Verdict != Admitted {
+		t.Errorf("the next request is %v", o.Verdict)
+	}
+	b.Return(until, "acme", until)
+	if o, _, _ := b.Request(until, "acme", 3); o.Verdict != Wait {
+		t.Errorf("a request after the token's life is %v", o.Verdict)
+	}
+}
+
+// BenchmarkAccounts measures the memory and the time of 10,000 accounts at a lender and at a
+// borrower.
+func BenchmarkAccounts(b *testing.B) {
+	const accounts = 10000
+	names := make([]string, accounts)
+	for i := range names {
+		names[i] = fmt.Sprint("account-", i)
+	}
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	b.Run("lender", func(b *testing.B) {
+		before, now := heap(), time.Unix(1000, 0)
+		p := newPool(standardBounds)
+		p.setShare(now, 1)
+		for i := 0; b.Loop(); i++ {
+			p.lend(now, names[i%accounts], Quota{5, 5}, 1, 0)
+		}
+		if b.N >= accounts {
+			b.ReportMetric(float64(heap()-before)/accounts, "B/account")
+		}
+		runtime.KeepAlive(p)
+	})
+	b.Run("borrower", func(b *testing.B) {
+		before, now := heap(), time.Unix(1000, 0)
+		borrower := NewBorrower(standardBounds)
+		for i := 0; b.Loop(); i++ {
+			if _, ask, send := borrower.Request(now, names[i%accounts], uint64(i)); send {
+				borrower.Answer(now, ask, Loan{Tokens: 1})
+			}
+		}
+		if b.N >= accounts {
+			b.ReportMetric(float64(heap()-before)/accounts, "B/account")
+		}
+		runtime.KeepAlive(borrower)
+	})
+	b.Run("forget", func(b *testing.B) {
+		now := time.Unix(1000, 0)
+		p := newPool(standardBounds)
+		p.setShare(now, 1)
+		for i := range accounts {
+			p.lend(now, names[i], Quota{5, 5}, 1, 0)
+		}
+		for b.Loop() {
+			p.forget(func(string) Quota { return Quota{5, 5} })
+		}
+	})
+}
