--- a/internal/entry/quota_wire.go
+++ b/internal/entry/quota_wire.go
@@ -20,6 +20,7 @@
 	Number uint64          `json:"n"`
 	Hosts  int             `json:"h"`
 	Held   int             `json:"s,omitempty"`
+	Next   string          `json:"x,omitempty"`
 }
 
 func newClaimRequest(c quota.Claim) claimRequest { return claimRequest(c) }
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -55,6 +55,8 @@
 	Hosts int
 	// Held is the number of shares that the lender holds.
 	Held int
+	// Next is the host that lends next, with ReleaseShare.
+	Next string
 }
 
 // ClaimReply answers a claim.
@@ -148,6 +150,7 @@
 // take it into account after joinTime at the latest; its share counts from then on.
 func (l *Lender) Join(now time.Time, joinTime time.Duration) {
 	l.mayGrantFrom = now.Add(max(joinTime, grantTime))
+	l.lastFresh = l.mayGrantFrom // until then, others count fresh shares without this host's
 }
 
 // SetBounds replaces the bounds.
@@ -223,8 +226,7 @@
 	l.hostCount = max(l.hostCount, c.Hosts)
 	switch c.Kind {
 	case ReleaseShare:
-		l.released(now, c)
-		return ClaimReply{Hosts: l.hostCount}, nil
+		return ClaimReply{Hosts: l.hostCount}, l.released(now, c)
 	case FindLender:
 		return ClaimReply{Hosts: l.hostCount, Lender: l.Current(now)}, nil
 	}
@@ -234,7 +236,7 @@
 		if !precedes(c.Held, c.From, held, l.self) {
 			return ClaimReply{Hosts: l.hostCount, Lender: l.self, Held: held}, nil
 		}
-		messages = l.StepDown(now)
+		messages = l.stepDown(now, c.From)
 	}
 	return l.decide(now, c), messages
 }
@@ -273,12 +275,27 @@
 	return true
 }
 
-// released ends the grant to a lender that no longer uses the share.
-func (l *Lender) released(now time.Time, c Claim) {
-	if l.grant.to == c.From && l.grant.run == c.Run && !l.grant.mixed && c.Number > l.grant.number {
-		l.grant.number = c.Number
-		l.grant.until = minTime(l.grant.until, now)
+// released ends the grant to a lender that no longer uses the share. It returns claims if this host
+// lends next.
+func (l *Lender) released(now time.Time, c Claim) []Message {
+	if l.grant.to != c.From || l.grant.run != c.Run || l.grant.mixed || c.Number <= l.grant.number {
+		return nil
+	}
+	l.grant.number = c.Number
+	if !now.Before(l.grant.until) {
+		return nil
 	}
+	l.grant.until = now
+	l.hint = grant{}
+	switch c.Next {
+	case l.self:
+		l.start(now)
+		return l.dueClaims(now)
+	case "":
+	default:
+		l.hint = grant{to: c.Next, until: now.Add(grantTime)}
+	}
+	return nil
 }
 
 func minTime(a, b time.Time) time.Time {
@@ -308,6 +325,12 @@
 	if len(l.hosts) == 0 || now.Before(l.lastLender().Add(time.Duration(l.rank)*rankDelay)) {
 		return false
 	}
+	l.start(now)
+	return true
+}
+
+// start makes this host the lender.
+func (l *Lender) start(now time.Time) {
 	l.lending, l.began = true, now
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
@@ -316,7 +339,6 @@
 	if l.takeFresh(now) {
 		l.pool.addFresh(l.shareOfOne())
 	}
-	return true
 }
 
 // shareOfOne returns the part of the quotas that belongs to one host.
@@ -399,28 +421,44 @@
 	}
 	held, _ := l.Held(now)
 	if reply.Lender == m.To && precedes(reply.Held, m.To, held, l.self) {
-		messages := l.StepDown(now)
-		l.hint = grant{to: m.To, until: now.Add(grantTime)}
-		return messages
+		return l.stepDown(now, m.To)
 	}
 	return nil
 }
 
-// StepDown ends the lending of this host and returns messages that free the shares that it held.
+// StepDown ends the lending of this host and returns messages that free the shares that it held, for
+// the next one of the candidates.
 func (l *Lender) StepDown(now time.Time) []Message {
+	next := ""
+	for _, h := range l.hosts {
+		if p := l.peers[h.Address]; p != nil && h.Address != l.self && now.Before(p.grantedUntil) {
+			next = h.Address
+			break
+		}
+	}
+	return l.stepDown(now, next)
+}
+
+func (l *Lender) stepDown(now time.Time, next string) []Message {
 	if !l.lending {
 		return nil
 	}
 	var messages []Message
 	for address, p := range l.peers {
 		if address != l.self && now.Before(p.grantedUntil) {
-			messages = append(messages, l.message(now, address, ReleaseShare))
+			m := l.message(now, address, ReleaseShare)
+			m.Claim.Next = next
+			messages = append(messages, m)
 		}
 	}
 	l.lending = false
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
 	l.grant.until = now
+	l.hint = grant{}
+	if next != "" {
+		l.hint = grant{to: next, until: now.Add(grantTime)}
+	}
 	return messages
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -42,8 +42,8 @@
 	// slackForBurst is the share of the slack that adds to the burst: callers' requests arrive
 	// less evenly than they were sent. slackForStart is the share that new lenders lend at once,
 	// because they don't know how much of a burst is left.
-	slackForBurst = 0.25
-	slackForStart = 0.5
+	slackForBurst = 0.6
+	slackForStart = 0.3
 )
 
 // TokenLife returns how long a token may be used after the request for it was sent.
