--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 	}
 	e.view.onTable = func(t *routing.Table) {
 		e.shares.setTable(t)
+		e.quotas.setTable(t)
 		servers.callers.setLimits(t.Limits)
 		e.lifecycle.SetConfiguration(false)
 	}
@@ -141,9 +142,7 @@
 	if e.offload != nil {
 		group.Go(func() { wait.Every(ctx, aliveInterval, func(time.Time) { e.offload.tick(ctx) }) })
 	}
-	if e.quotas != nil {
-		group.Go(func() { wait.Every(ctx, quotaTick, func(time.Time) { e.quotas.tick(ctx) }) })
-	}
+	group.Go(func() { e.quotas.run(ctx) })
 	group.Go(func() { wait.Every(ctx, reachTick, func(now time.Time) { e.reach.tick(ctx, now) }) })
 	<-stop
 	cutOff, end = e.stop(ctx, servers)
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -61,6 +61,9 @@
 	over    map[string]*overQuota
 	lending bool
 	stopped bool
+	// needed is closed when a version of the configuration has quotas.
+	needed     chan struct{}
+	markNeeded func()
 
 	admitted, refused, unknown, borrowed, lent metrics.Counter
 	shares, buckets                            metrics.Gauge
@@ -81,12 +84,13 @@
 	gauge := func(name string) metrics.Gauge {
 		return metrics.GetOrRegisterGauge("quota."+name, e.metrics.registry)
 	}
-	bounds := e.bounds.Load().Quota
+	bounds, needed := e.bounds.Load().Quota, make(chan struct{})
 	q := &quotas{
 		entry: e, node: node, self: e.settings.PeerAddress,
 		lender:   quota.NewLender(bootTime(), e.settings.PeerAddress, rand.Uint64(), bounds),
 		borrower: quota.NewBorrower(bounds),
 		waiting:  map[uint64]chan quota.Outcome{}, over: map[string]*overQuota{},
+		needed: needed, markNeeded: sync.OnceFunc(func() { close(needed) }),
 		admitted: counter("admitted"), refused: counter("refused"), unknown: counter("unknown"), borrowed: counter("borrowed"), lent: counter("lent"),
 		shares: gauge("shares"), buckets: gauge("buckets"),
 	}
@@ -310,12 +314,27 @@
 	o.refused, o.last = o.refused+refused, now
 }
 
-// tick sends what is due and logs what has changed.
-func (q *quotas) tick(ctx context.Context) {
-	table := q.entry.view.table.Load()
-	if table == nil || !table.HasQuotas() {
+// setTable applies the configuration in force.
+func (q *quotas) setTable(t *routing.Table) {
+	if q != nil && t.HasQuotas() {
+		q.markNeeded()
+	}
+}
+
+// run keeps the quotas until ctx ends, from the first configuration on that has any.
+func (q *quotas) run(ctx context.Context) {
+	if q == nil {
 		return
 	}
+	select {
+	case <-q.needed:
+		wait.Every(ctx, quotaTick, func(time.Time) { q.tick(ctx) })
+	case <-ctx.Done():
+	}
+}
+
+// tick sends what is due and logs what has changed.
+func (q *quotas) tick(ctx context.Context) {
 	now := bootTime()
 	q.mu.Lock()
 	var messages []quota.Message
