--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -20,8 +20,6 @@
 const (
 	// quotaTick is the interval between checks of what is due.
 	quotaTick = 50 * time.Millisecond
-	// claimTimeout is the timeout of a claim. A later answer is of little use.
-	claimTimeout = 200 * time.Millisecond
 	// borrowTimeout is the timeout of a call for tokens, and borrowRetryDelay the wait after a
 	// failed one.
 	borrowTimeout    = 150 * time.Millisecond
@@ -41,6 +39,7 @@
 // Methods of the calls between hosts about quotas.
 const (
 	methodClaim  = "quota.claim"
+	methodRelay  = "quota.relay"
 	methodBorrow = "quota.borrow"
 )
 
@@ -52,6 +51,7 @@
 	self  string
 
 	mu          sync.Mutex
+	dataCentres map[string]string // by the host's address
 	lender      *quota.Lender
 	borrower    *quota.Borrower
 	lastRequest uint64
@@ -95,6 +95,7 @@
 		shares: gauge("shares"), buckets: gauge("buckets"),
 	}
 	node.Handle(methodClaim, q.handleClaim)
+	node.Handle(methodRelay, q.handleRelay)
 	node.Handle(methodBorrow, q.handleBorrow)
 	e.quotas = q
 }
@@ -122,12 +123,14 @@
 	if q == nil {
 		return
 	}
-	hosts := make([]quota.Host, len(list))
+	hosts, dataCentres := make([]quota.Host, len(list)), make(map[string]string, len(list))
 	for i, h := range list {
 		hosts[i] = quota.Host{Address: h.Address, Cores: h.Cores}
+		dataCentres[h.Address] = h.DataCentre
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.dataCentres = dataCentres
 	q.lender.SetHosts(hosts)
 }
 
@@ -366,27 +369,6 @@
 	}
 }
 
-// send sends claims and handles the replies.
-func (q *quotas) send(ctx context.Context, messages []quota.Message) {
-	for _, m := range messages {
-		go q.claim(ctx, m)
-	}
-}
-
-func (q *quotas) claim(ctx context.Context, m quota.Message) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	var reply claimReply
-	if err := q.node.Call(ctx, m.To, methodClaim, newClaimRequest(m.Claim), &reply); err != nil {
-		klog.V(1).InfoS("Failed to claim a share of the quotas", "host", m.To, "err", err)
-		return
-	}
-	q.mu.Lock()
-	next := q.lender.HandleReply(bootTime(), m, reply.reply())
-	q.mu.Unlock()
-	q.send(ctx, next)
-}
-
 // stop frees the shares that this host holds.
 func (q *quotas) stop() {
 	if q == nil {
@@ -399,18 +381,6 @@
 	q.send(context.Background(), messages)
 }
 
-func (q *quotas) handleClaim(_ context.Context, r peer.Request) (any, error) {
-	var request claimRequest
-	if err := r.Decode(&request); err != nil {
-		return nil, err
-	}
-	q.mu.Lock()
-	reply, messages := q.lender.HandleClaim(bootTime(), request.claim())
-	q.mu.Unlock()
-	q.send(context.Background(), messages)
-	return newClaimReply(reply), nil
-}
-
 func (q *quotas) handleBorrow(_ context.Context, r peer.Request) (any, error) {
 	var request borrowRequest
 	if err := r.Decode(&request); err != nil {
--- a/internal/entry/quota_wire.go
+++ b/internal/entry/quota_wire.go
@@ -40,6 +40,17 @@
 
 func (r claimReply) reply() quota.ClaimReply { return quota.ClaimReply(r) }
 
+// relayRequest asks a host to send a claim to others of its data centre.
+type relayRequest struct {
+	Claim claimRequest `json:"c"`
+	To    []string     `json:"t"`
+}
+
+// relayReply has the reply of each host, or null for a host that gave none.
+type relayReply struct {
+	Replies []*claimReply `json:"r"`
+}
+
 // borrowRequest asks the lender for tokens of an account.
 type borrowRequest struct {
 	Account  []byte `json:"a"` // bytes, because JSON strings change what is not UTF-8
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -48,7 +48,7 @@
 type Claim struct {
 	Kind ClaimKind
 	From string
-	// Run identifies the process of the lender; Number rises with its claims.
+	// Run identifies the process of the lender; Number rises with its claims of a host.
 	Run    uint64
 	Number uint64
 	// Hosts is the number of hosts that the lender knows.
@@ -79,6 +79,8 @@
 	Claim Claim
 	// SentAt is the time from which a grant counts.
 	SentAt time.Time
+	// Renewal is set if the lender holds the share already.
+	Renewal bool
 }
 
 // Loan is a lender's answer to a host that asks for tokens.
@@ -356,7 +358,7 @@
 	if to == "" || to == l.self {
 		return nil
 	}
-	return []Message{l.message(now, to, FindLender)}
+	return []Message{{To: to, SentAt: now, Claim: l.newClaim(now, FindLender)}}
 }
 
 // grantToSelf renews the grant of this host's own share.
@@ -373,21 +375,23 @@
 			l.peers[h.Address] = &peerState{}
 		}
 	}
+	claim := l.newClaim(now, TakeShare)
 	var messages []Message
 	for address, p := range l.peers {
 		if address == l.self || now.Before(p.nextClaim) {
 			continue
 		}
 		p.nextClaim = now.Add(claimInterval)
-		messages = append(messages, l.message(now, address, TakeShare))
+		messages = append(messages, Message{To: address, SentAt: now, Claim: claim, Renewal: now.Before(p.grantedUntil)})
 	}
 	return messages
 }
 
-func (l *Lender) message(now time.Time, to string, kind ClaimKind) Message {
+// newClaim returns a claim with a new number. Claims of several hosts may have the same one.
+func (l *Lender) newClaim(now time.Time, kind ClaimKind) Claim {
 	l.number++
 	held, _ := l.Held(now)
-	return Message{To: to, SentAt: now, Claim: Claim{Kind: kind, From: l.self, Run: l.run, Number: l.number, Hosts: l.hostCount, Held: held}}
+	return Claim{Kind: kind, From: l.self, Run: l.run, Number: l.number, Hosts: l.hostCount, Held: held}
 }
 
 // HandleReply records the answer to a claim. It returns releases if another lender has more
@@ -443,12 +447,12 @@
 	if !l.lending {
 		return nil
 	}
+	claim := l.newClaim(now, ReleaseShare)
+	claim.Next = next
 	var messages []Message
 	for address, p := range l.peers {
 		if address != l.self && now.Before(p.grantedUntil) {
-			m := l.message(now, address, ReleaseShare)
-			m.Claim.Next = next
-			messages = append(messages, m)
+			messages = append(messages, Message{To: address, SentAt: now, Claim: claim, Renewal: true})
 		}
 	}
 	l.lending = false
