--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -298,3 +298,33 @@
 		}
 	})
 }
+
+// Guards against a share that is free for another lender although its holder counts on it: after a
+// late release of an earlier claim, or of an earlier process.
+func TestLateReleaseFreesNoShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewLender(now.Add(-time.Minute), "host", 1, standardBounds)
+	claim := func(from string, run, number uint64, kind ClaimKind) bool {
+		reply, _ := h.HandleClaim(now, Claim{Kind: kind, From: from, Run: run, Number: number})
+		return reply.Granted
+	}
+	if !claim("a", 1, 10, TakeShare) || claim("b", 1, 1, TakeShare) {
+		t.Fatal("the share isn't granted to the first lender alone")
+	}
+	claim("a", 1, 9, ReleaseShare)
+	if claim("b", 1, 2, TakeShare) {
+		t.Error("free after the release of an earlier claim")
+	}
+	claim("a", 2, 1, TakeShare)
+	claim("a", 1, 11, TakeShare) // sent before the process ended
+	claim("a", 1, 12, ReleaseShare)
+	if claim("b", 1, 3, TakeShare) {
+		t.Error("free after the release of an earlier process")
+	}
+	now = now.Add(grantTime)
+	claim("a", 2, 2, TakeShare)
+	claim("a", 2, 3, ReleaseShare)
+	if !claim("b", 1, 4, TakeShare) {
+		t.Error("not free after the release")
+	}
+}
