--- a/quota/example_test.go
+++ b/quota/example_test.go
@@ -14,9 +14,10 @@
 	now := time.Unix(1000, 0)
 	lender := quota.NewLender(now, "10.1.0.9:7395", 1, bounds)
 	lender.SetHosts([]quota.Host{{Address: "10.1.0.9:7395"}})
-	now = now.Add(time.Second)
-	lender.Tick(now, func(string) quota.Quota { return limit })
-	now = now.Add(500 * time.Millisecond) // the bucket was empty
+	for range 12 { // it waits for another lender, and then until its bucket has filled
+		now = now.Add(100 * time.Millisecond)
+		lender.Tick(now, func(string) quota.Quota { return limit })
+	}
 
 	borrower := quota.NewBorrower(bounds)
 	for request := range uint64(3) {
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -125,6 +125,10 @@
 	rank      int // of this host among the candidates
 	hostCount int // the largest number of hosts that is known here
 
+	// watching is since when this host could have heard a lender's claims, and lastTick the time
+	// of the last Tick.
+	watching, lastTick time.Time
+
 	grant   grant
 	hint    grant // a lender that works without this host's share
 	lending bool
@@ -189,10 +193,10 @@
 	return max(l.lastLender().Sub(now), 0) + 2*rankDelay
 }
 
-// lastLender returns until when another host may be the lender.
+// lastLender returns until when another host may be the lender as far as this one knows.
 func (l *Lender) lastLender() time.Time {
 	last := l.mayGrantFrom
-	for _, t := range []time.Time{l.grant.until, l.hint.until} {
+	for _, t := range []time.Time{l.grant.until, l.hint.until, l.watching.Add(claimInterval)} {
 		if t.After(last) {
 			last = t
 		}
@@ -309,6 +313,10 @@
 
 // Tick returns the claims that are due. QuotaOf returns the quota of an account.
 func (l *Lender) Tick(now time.Time, quotaOf func(account string) Quota) []Message {
+	if now.Sub(l.lastTick) > grantTime { // the first one, or the host was suspended
+		l.watching = now
+	}
+	l.lastTick = now
 	if !l.lending && !l.begin(now) {
 		return l.findLender(now)
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -299,6 +299,41 @@
 	})
 }
 
+// Guards against many hosts that all claim every share when quotas come into force, or when they go
+// on after a suspension.
+func TestHostListensBeforeItLends(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLender(now, "b", 1, standardBounds)
+	l.SetHosts([]Host{{Address: "a"}, {Address: "b"}})
+	tick := func() bool {
+		l.Tick(now, func(string) Quota { return Quota{} })
+		return l.lending
+	}
+	now = now.Add(time.Hour)
+	if tick() {
+		t.Error("lends without having listened")
+	}
+	now = now.Add(claimInterval / 2)
+	l.HandleClaim(now, Claim{From: "a", Run: 1, Number: 1})
+	for range 5 {
+		now = now.Add(claimInterval / 2)
+		if tick() {
+			t.Error("lends while another host does")
+		}
+	}
+	now = now.Add(grantTime + 10*rankDelay)
+	if tick(); l.lending {
+		t.Error("lends right after a suspension")
+	}
+	for range 10 {
+		now = now.Add(rankDelay)
+		tick()
+	}
+	if !l.lending {
+		t.Error("doesn't lend although no other host does")
+	}
+}
+
 // Guards against a share that is free for another lender although its holder counts on it: after a
 // late release of an earlier claim, or of an earlier process.
 func TestLateReleaseFreesNoShare(t *testing.T) {
