--- a/quota/lender.go
+++ b/quota/lender.go
@@ -17,6 +17,10 @@
 	// grantedElsewhereRetry.
 	claimInterval         = 200 * time.Millisecond
 	grantedElsewhereRetry = 100 * time.Millisecond
+	// silentInterval is the time between claims of a host that has not answered maxUnanswered
+	// claims: hosts that are gone stay on the list.
+	silentInterval = time.Second
+	maxUnanswered  = 5
 	// rankDelay is the time between the moments at which a host and the next one in the order
 	// of candidates claim the shares of a lender that has failed. It is longer than a call.
 	rankDelay = 50 * time.Millisecond
@@ -26,71 +30,6 @@
 	forgetInterval = 5 * time.Second
 )
 
-// Host is a host that shares the quotas. Its address identifies it.
-type Host struct {
-	Address string
-	Cores   float64
-}
-
-// ClaimKind is what a claim asks for.
-type ClaimKind int
-
-const (
-	// TakeShare asks for the share of a host.
-	TakeShare ClaimKind = iota
-	// ReleaseShare tells a host that its share is no longer used.
-	ReleaseShare
-	// FindLender asks which host lends.
-	FindLender
-)
-
-// Claim is a message from a host to another one about its share.
-type Claim struct {
-	Kind ClaimKind
-	From string
-	// Run identifies the process of the lender; Number rises with its claims of a host.
-	Run    uint64
-	Number uint64
-	// Hosts is the number of hosts that the lender knows.
-	Hosts int
-	// Held is the number of shares that the lender holds.
-	Held int
-	// Next is the host that lends next, with ReleaseShare.
-	Next string
-}
-
-// ClaimReply answers a claim.
-type ClaimReply struct {
-	Granted bool
-	// Fresh is set if the share comes with tokens at once: the host has not granted any that did
-	// for long enough.
-	Fresh bool
-	// Hosts is the number of hosts that the host knows.
-	Hosts int
-	// Lender is the host that lends, if the share wasn't granted; empty if there is none.
-	Lender string
-	// Held is the number of shares that the host holds as a lender itself.
-	Held int
-}
-
-// Message is a claim to be sent to a host.
-type Message struct {
-	To    string
-	Claim Claim
-	// SentAt is the time from which a grant counts.
-	SentAt time.Time
-	// Renewal is set if the lender holds the share already.
-	Renewal bool
-}
-
-// Loan is a lender's answer to a host that asks for tokens.
-type Loan struct {
-	Tokens int
-	// RoomIn is when the account has a token again, if fewer were lent than requests wait, and
-	// Spread the time that those refused lately need from then on.
-	RoomIn, Spread time.Duration
-}
-
 // grant is this host's grant of its share.
 type grant struct {
 	to     string
@@ -106,17 +45,19 @@
 type peerState struct {
 	grantedUntil time.Time
 	nextClaim    time.Time
+	unanswered   int    // claims since the last answer
 	freshNumber  uint64 // of the last claim that got a fresh grant
 }
 
-// Lender decides to whom this host grants its share, and lends the tokens of the shares that
-// others grant to it.
+// Lender decides to whom this host grants its share (granting.go), and lends the tokens of the
+// shares that others grant to it.
 type Lender struct {
 	self   string
 	run    uint64
 	bounds Bounds
 
-	// mayGrantFrom is when a grant of an earlier process of this host has ended.
+	// mayGrantFrom is when a grant of an earlier process of this host has ended, and when the
+	// others know a host that is new on the list.
 	mayGrantFrom time.Time
 	// lastFresh is the time of the last fresh grant, or of the process's start: an earlier
 	// process may have granted until then.
@@ -177,12 +118,10 @@
 
 // Current returns the host to ask for tokens, which may be this one; empty if none is known.
 func (l *Lender) Current(now time.Time) string {
-	switch {
-	case l.lending:
-		return l.self
-	case now.Before(l.grant.until):
-		return l.grant.to
-	case now.Before(l.hint.until):
+	if lender := l.heardFrom(now); lender != "" {
+		return lender
+	}
+	if now.Before(l.hint.until) {
 		return l.hint.to
 	}
 	return ""
@@ -190,7 +129,7 @@
 
 // Vacancy returns how long it may take until a host is known that lends tokens.
 func (l *Lender) Vacancy(now time.Time) time.Duration {
-	return max(l.lastLender().Sub(now), 0) + 2*rankDelay
+	return min(max(l.lastLender().Sub(now), 0), grantTime) + 2*rankDelay
 }
 
 // lastLender returns until when another host may be the lender as far as this one knows.
@@ -227,90 +166,6 @@
 	l.pool.setShare(now, share)
 }
 
-// HandleClaim answers the claim of another host.
-func (l *Lender) HandleClaim(now time.Time, c Claim) (ClaimReply, []Message) {
-	l.hostCount = max(l.hostCount, c.Hosts)
-	switch c.Kind {
-	case ReleaseShare:
-		return ClaimReply{Hosts: l.hostCount}, l.released(now, c)
-	case FindLender:
-		return ClaimReply{Hosts: l.hostCount, Lender: l.Current(now)}, nil
-	}
-	var messages []Message
-	held, _ := l.Held(now)
-	if l.lending {
-		if !precedes(c.Held, c.From, held, l.self) {
-			return ClaimReply{Hosts: l.hostCount, Lender: l.self, Held: held}, nil
-		}
-		messages = l.stepDown(now, c.From)
-	}
-	return l.decide(now, c), messages
-}
-
-// precedes reports whether a lender goes on lending when it meets another one.
-func precedes(held int, address string, otherHeld int, otherAddress string) bool {
-	return held > otherHeld || held == otherHeld && address < otherAddress
-}
-
-// decide grants this host's share if it isn't granted to another lender.
-func (l *Lender) decide(now time.Time, c Claim) ClaimReply {
-	reply := ClaimReply{Hosts: l.hostCount}
-	granted := now.Before(l.grant.until)
-	switch {
-	case now.Before(l.mayGrantFrom):
-		l.hint = grant{to: c.From, until: now.Add(grantTime)}
-	case granted && l.grant.to != c.From:
-		reply.Lender = l.grant.to
-	case l.grant.to == c.From && l.grant.run == c.Run && c.Number <= l.grant.number:
-		// An older message. The lender may have released the share since.
-	default:
-		reply.Fresh = !(granted && l.grant.run == c.Run) && l.takeFresh(now)
-		mixed := granted && (l.grant.mixed || l.grant.run != c.Run)
-		l.grant = grant{to: c.From, run: c.Run, number: c.Number, mixed: mixed, until: now.Add(grantTime)}
-		reply.Granted = true
-	}
-	return reply
-}
-
-// takeFresh reports whether a new grant is fresh, and records it.
-func (l *Lender) takeFresh(now time.Time) bool {
-	if now.Sub(l.lastFresh) < l.bounds.freshInterval() {
-		return false
-	}
-	l.lastFresh = now
-	return true
-}
-
-// released ends the grant to a lender that no longer uses the share. It returns claims if this host
-// lends next.
-func (l *Lender) released(now time.Time, c Claim) []Message {
-	if l.grant.to != c.From || l.grant.run != c.Run || l.grant.mixed || c.Number <= l.grant.number {
-		return nil
-	}
-	l.grant.number = c.Number
-	if !now.Before(l.grant.until) {
-		return nil
-	}
-	l.grant.until = now
-	l.hint = grant{}
-	switch c.Next {
-	case l.self:
-		l.start(now)
-		return l.dueClaims(now)
-	case "":
-	default:
-		l.hint = grant{to: c.Next, until: now.Add(grantTime)}
-	}
-	return nil
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Tick returns the claims that are due. QuotaOf returns the quota of an account.
 func (l *Lender) Tick(now time.Time, quotaOf func(account string) Quota) []Message {
 	if now.Sub(l.lastTick) > grantTime { // the first one, or the host was suspended
@@ -390,6 +245,9 @@
 			continue
 		}
 		p.nextClaim = now.Add(claimInterval)
+		if p.unanswered++; p.unanswered > maxUnanswered {
+			p.nextClaim = now.Add(silentInterval)
+		}
 		messages = append(messages, Message{To: address, SentAt: now, Claim: claim, Renewal: now.Before(p.grantedUntil)})
 	}
 	return messages
@@ -416,6 +274,7 @@
 	if !l.lending || p == nil || m.SentAt.Before(l.began) {
 		return nil
 	}
+	p.unanswered = 0
 	l.refresh(now)
 	if reply.Granted {
 		if until := m.SentAt.Add(grantTime); until.After(p.grantedUntil) {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -180,6 +180,23 @@
 	}
 }
 
+// Guards against new hosts that tell each other of a lender that has failed, so that none follows it.
+func TestNewHostsForgetFailedLender(t *testing.T) {
+	s := newSim(1, 4, standardBounds, Quota{40, 40})
+	s.run(2*time.Second, 4, always(0))
+	for range 4 {
+		s.join()
+	}
+	s.run(grantTime, 4, always(0))
+	for _, h := range s.hosts[:4] {
+		h.alive = false
+	}
+	s.run(modelJoinTime+2*time.Second, 4, always(0))
+	if lender := s.hosts[7].lender.Current(s.now); lender < "h04" {
+		t.Errorf("host h07 borrows from %q, which has failed", lender)
+	}
+}
+
 // Guards against callers that are all told to come back at the same time, or before the account
 // has room.
 func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
