--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -180,20 +180,26 @@
 	}
 }
 
-// Guards against new hosts that tell each other of a lender that has failed, so that none follows it.
-func TestNewHostsForgetFailedLender(t *testing.T) {
-	s := newSim(1, 4, standardBounds, Quota{40, 40})
-	s.run(2*time.Second, 4, always(0))
-	for range 4 {
-		s.join()
-	}
-	s.run(grantTime, 4, always(0))
-	for _, h := range s.hosts[:4] {
-		h.alive = false
-	}
-	s.run(modelJoinTime+2*time.Second, 4, always(0))
-	if lender := s.hosts[7].lender.Current(s.now); lender < "h04" {
-		t.Errorf("host h07 borrows from %q, which has failed", lender)
+// Guards against hosts that tell each other of a lender that has failed, so that none follows it.
+func TestOnlyHeardLenderIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewLender(now, "host", 1, standardBounds)
+	ask := func() string {
+		reply, _ := h.HandleClaim(now, Claim{Kind: FindLender, From: "other"})
+		return reply.Lender
+	}
+	h.HandleReply(now, Message{To: "other", Claim: Claim{Kind: FindLender}}, ClaimReply{Lender: "a"})
+	if h.Current(now) != "a" || ask() != "" {
+		t.Errorf("borrows from %q and passes on %q, which another host named", h.Current(now), ask())
+	}
+	now = now.Add(grantTime)
+	h.HandleClaim(now, Claim{From: "b", Run: 1, Number: 1})
+	if h.Current(now) != "b" || ask() != "b" {
+		t.Errorf("borrows from %q and passes on %q, which claimed the share", h.Current(now), ask())
+	}
+	now = now.Add(grantTime)
+	if h.Current(now) != "" || ask() != "" {
+		t.Errorf("borrows from %q and passes on %q after the grant", h.Current(now), ask())
 	}
 }
 
