quota: a lender that was suspended begins anew

It now listens first, and hears the number of hosts. The model let hosts read the list up to the end of the join time; a host suspended right before its read holds its grants for 600 ms more, so that the join time must exceed the read interval by that: it does, by 5 s.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -29,7 +29,8 @@
 	quotaWaitShare = 0.5
 	minQuotaWait   = 20 * time.Millisecond
 	maxQuotaWait   = 400 * time.Millisecond
-	// joinTime is how long it takes until all hosts have read a list with a new host on it.
+	// joinTime is how long it takes until all hosts have read a list with a new host on it, some
+	// seconds more than the longest of hostListIntervals.
 	joinTime = 25 * time.Second
 	// overQuotaEnd is the time without a refusal after which an account is no longer over its
 	// quota, for the log.
--- a/quota/granting.go
+++ b/quota/granting.go
@@ -5,6 +5,9 @@
 // HandleClaim answers the claim of another host.
 func (l *Lender) HandleClaim(now time.Time, c Claim) (ClaimReply, []Message) {
 	l.hostCount = max(l.hostCount, c.Hosts)
+	if p := l.peers[c.From]; p != nil && p.unanswered > maxUnanswered { // it can be reached again
+		p.unanswered, p.nextClaim = 0, now
+	}
 	switch c.Kind {
 	case ReleaseShare:
 		return ClaimReply{Hosts: l.hostCount}, l.released(now, c)
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -93,8 +93,9 @@
 	}
 }
 
-// Join tells that this host is new on the list of hosts. Others, whose lists may be out of date,
-// take it into account after joinTime at the latest; its share counts from then on.
+// Join tells that this host is new on the list of hosts. Its share counts after joinTime: the longest
+// time until the others, whose lists may be out of date, have read it again, and that of a grant, for
+// a lender that was suspended before it could.
 func (l *Lender) Join(now time.Time, joinTime time.Duration) {
 	l.mayGrantFrom = now.Add(max(joinTime, grantTime))
 	l.lastFresh = l.mayGrantFrom // until then, others count fresh shares without this host's
@@ -168,8 +169,8 @@
 
 // Tick returns the claims that are due. QuotaOf returns the quota of an account.
 func (l *Lender) Tick(now time.Time, quotaOf func(account string) Quota) []Message {
-	if now.Sub(l.lastTick) > grantTime { // the first one, or the host was suspended
-		l.watching = now
+	if now.Sub(l.lastTick) > grantTime {
+		l.resume(now)
 	}
 	l.lastTick = now
 	if !l.lending && !l.begin(now) {
@@ -184,6 +185,15 @@
 	return l.dueClaims(now)
 }
 
+// resume begins anew after the first Tick, or after a suspension in which all grants have ended. The
+// list may have become longer meanwhile, which the other hosts tell.
+func (l *Lender) resume(now time.Time) {
+	l.watching = now
+	l.lending = false
+	l.peers = map[string]*peerState{}
+	l.pool = newPool(l.bounds)
+}
+
 // begin makes this host the lender if there is none and all candidates before it had time to
 // become it.
 func (l *Lender) begin(now time.Time) bool {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -355,6 +355,10 @@
 	if !l.lending {
 		t.Error("doesn't lend although no other host does")
 	}
+	now = now.Add(grantTime + rankDelay)
+	if tick() {
+		t.Error("lends on after a suspension, although the list of hosts may have changed")
+	}
 }
 
 // Guards against a share that is free for another lender although its holder counts on it: after a
