Merge quotas of client accounts

One lender for all accounts holds shares that hosts grant it and lends tokens; requests over the quota get 429 at once.

--- a/cmd/marigoldleverd/entry.go
+++ b/cmd/marigoldleverd/entry.go
@@ -77,6 +77,7 @@
 	e.EnableRollouts(node, store, rand.Uint64())
 	if s.PeerAddress != "" {
 		e.EnableOffload(node)
+		e.EnableQuotas(node)
 		if err := node.Listen(s.PeerAddress); err != nil {
 			klog.ErrorS(err, "Cannot listen for calls of other hosts", "address", s.PeerAddress)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,7 @@
 	memory     memory
 	rollouts   *rollouts  // nil if roll-outs are not in force
 	offload    *offloader // nil if this host does all requests itself
+	quotas     *quotas    // nil if this host keeps no quotas
 }
 
 // New returns an entry; Run starts it.
@@ -118,6 +119,7 @@
 // restart.
 func (e *Entry) Reload(s Settings) {
 	e.bounds.Store(&s.Bounds)
+	e.quotas.setBounds(s.Bounds.Quota)
 	e.lifecycle.SetConfig(drainConfig(s.Bounds.Grace))
 	restart := s.CallerAddress != e.settings.CallerAddress || s.StoreAddress != e.settings.StoreAddress ||
 		s.DataCentre != e.settings.DataCentre
@@ -140,6 +142,7 @@
 	}
 	e.view.onTable = func(t *routing.Table) {
 		e.shares.setTable(t)
+		e.quotas.setTable(t)
 		servers.callers.setLimits(t.Limits)
 		e.lifecycle.SetConfiguration(false)
 	}
@@ -163,6 +166,7 @@
 	if e.rollouts != nil {
 		group.Go(func() { e.rollouts.runUntil(ctx) })
 	}
+	group.Go(func() { e.quotas.run(ctx) })
 	group.Go(func() { wait.Every(ctx, reachTick, func(now time.Time) { e.reach.tick(ctx, now) }) })
 	<-stop
 	e.rollouts.resign()
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldlever/marigoldlever/internal/loopback"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/platform"
+	"github.com/marigoldlever/marigoldlever/quota"
 	"github.com/marigoldlever/marigoldlever/replicas"
 	"github.com/marigoldlever/marigoldlever/routing"
 	"github.com/marigoldlever/marigoldlever/watchers"
@@ -208,8 +209,9 @@
 	tr.metrics = metrics.NewRegistry()
 	settings := entry.Settings{
 		Host: self.ID, DataCentre: self.DataCentre, PeerAddress: self.Address, Cores: self.Cores,
-		Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness, MemoryMB: tr.memoryMB,
-		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second},
+		FirstStart: true, Regions: map[string]string{"dc": "r"}, CallerAddress: tr.address, ReadinessAddress: tr.readiness, MemoryMB: tr.memoryMB,
+		Bounds: entry.Bounds{Grace: tr.grace, ExtraRatio: 0.2, ExtraSlack: 20, ExtraWindow: 10 * time.Second, ContactTime: 4 * time.Second,
+			Quota: quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}},
 	}
 	if tr.rollouts != nil {
 		settings.Bounds.ExposureShare, settings.Bounds.ExposureSlack = testExposureShare, testExposureSlack
@@ -223,6 +225,7 @@
 		if tr.rollouts != nil {
 			e.EnableRollouts(tr.node, tr.rollouts, 1)
 		}
+		e.EnableQuotas(tr.node)
 		if err := tr.node.Listen(self.Address); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -61,6 +61,7 @@
 		onHosts(list)
 		e.offload.setHosts(list)
 		e.rollouts.setHosts(list)
+		e.quotas.setHosts(list)
 		division := offload.Uniform(max(len(list), 1))
 		if e.offload != nil {
 			division = offload.Divide(e.settings.Self(), list)
@@ -72,6 +73,7 @@
 	}
 	read(true)
 	if !listed { // a restarted host is already listed
+		e.quotas.join()
 		if !e.register(ctx, hosts, onJoined) {
 			return
 		}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/marigoldlever/marigoldlever/quota"
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
@@ -25,6 +26,7 @@
 	MemoryMB         int
 	Sockets          int     // descriptors that sockets may take; 0 if not known
 	LinkMbps         float64 // bandwidth of this host's link in Mbit/s; 0 if not known
+	FirstStart       bool    // whether all hosts start for the first time
 
 	Bounds Bounds
 }
@@ -59,6 +61,8 @@
 	ExposureSlack float64
 	// RollbackTime is the time within which a bad version must get nothing more.
 	RollbackTime time.Duration
+	// Quota limits how far all hosts together may exceed an account's quota.
+	Quota quota.Bounds
 }
 
 // RolloutsInForce reports whether the operators bound the exposure to a new version, and order
