entry: the test of bounded connections waits until the server counts them as idle

The server notes that a connection is idle after it has flushed the answer, so that on a busy machine two connections could become idle in another order than they were answered.

Change: metric callers.kept counts connections that become idle, which operators can watch too; the test waits for it before it opens the next connection. Its checks are the same.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -78,6 +78,8 @@
 	places           int
 	limits           func() Limits
 	gaveWay, noPlace metrics.Counter
+	// kept counts the times that a connection became idle after an answer.
+	kept metrics.Counter
 
 	mu        sync.Mutex
 	conns     map[*Conn]struct{}
@@ -92,6 +94,7 @@
 		Listener: l, places: places, limits: limits, conns: map[*Conn]struct{}{}, addresses: map[netip.Addr]int{},
 		gaveWay: metrics.GetOrRegisterCounter("callers.gave_way", registry),
 		noPlace: metrics.GetOrRegisterCounter("callers.no_place", registry),
+		kept:    metrics.GetOrRegisterCounter("callers.kept", registry),
 	}
 }
 
@@ -231,6 +234,7 @@
 		c.enter(handling)
 	case http.StateIdle:
 		c.enter(idle)
+		l.kept.Inc(1)
 	case http.StateClosed:
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -53,6 +53,7 @@
 		}
 		response.Body.Close()
 		kept = append(kept, c)
+		tr.awaitKept(t, int64(len(kept)+len(answered))) // the busy connection becomes idle too
 	}
 	if got := <-answered; got != http.StatusOK {
 		t.Errorf("the request in progress got %d", got)
@@ -71,6 +72,17 @@
 	}
 }
 
+// awaitKept waits until connections have become idle n times. The server notes it only after the
+// caller has its answer.
+func (tr *tier) awaitKept(t *testing.T, n int64) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); tr.counter("callers.kept") < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections became idle, want %d", tr.counter("callers.kept"), n)
+		}
+	}
+}
+
 // Guards against large bodies that together take the memory of a host: those that find none
 // left are refused, have not run and may come back. Small ones still run.
 func TestLargeBodiesShareMemory(t *testing.T) {
