quota: explain the terms of lenders, buckets and messages

A reader who is new to the package had to guess what a fresh grant, a hint and the number of a grant are, and why the number of hosts never falls. Comments now say so. The unexported names that did not tell what they hold are changed (watching, began, forgot, at, decide), and the handling of a grant and the order of hosts are functions of their own. Behaviour, bounds and the checks of the tests are as before.

--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -15,8 +15,8 @@
 // Ask is a request to the lender.
 type Ask struct {
 	Account string
-	// Waiting is the number of requests that wait for a token, Expected that of more tokens
-	// that would be used soon.
+	// Waiting is the number of requests that wait for a token, and Expected the number of further
+	// ones that are expected soon.
 	Waiting, Expected int
 	SentAt            time.Time
 }
@@ -27,7 +27,9 @@
 const (
 	// Wait means that the verdict depends on the lender's answer.
 	Wait Verdict = iota
+	// Admitted means that the request has a token.
 	Admitted
+	// OverQuota means that the lender has no token for the request.
 	OverQuota
 )
 
@@ -37,8 +39,8 @@
 	Verdict Verdict
 	// UsableUntil is when the token of an admitted request expires.
 	UsableUntil time.Time
-	// RoomIn is when the account has room again if the request is over the quota, and Spread
-	// the time over which those refused should return.
+	// RoomIn is the time until the account has room again, if the request is over the quota, and
+	// Spread the time from then on over which those refused should return.
 	RoomIn, Spread time.Duration
 }
 
@@ -46,15 +48,16 @@
 type Borrower struct {
 	life     time.Duration
 	accounts map[string]*balance
-	pruned   time.Time
+	prunedAt time.Time
 }
 
 // balance is what this host has of an account.
 type balance struct {
-	tokens  []token // oldest first
-	waiting []uint64
-	asking  bool
-	// refusingUntil is until when the lender has no tokens.
+	tokens  []token  // oldest first
+	waiting []uint64 // requests, oldest first
+	asking  bool     // an ask is on its way
+	// refusingUntil is until when requests are refused without an ask, and spread the time over
+	// which they should return.
 	refusingUntil time.Time
 	spread        time.Duration
 	demand        demand
@@ -79,7 +82,7 @@
 	d.current++
 }
 
-// within returns how many requests are expected in a time.
+// within returns how many requests are expected in a time. One request alone doesn't announce others.
 func (d *demand) within(t time.Duration) int {
 	return int(float64(max(d.current-1, d.previous)) * t.Seconds() / demandMemory.Seconds())
 }
@@ -121,6 +124,7 @@
 
 // ask returns the ask that is due: for the requests that wait, or ahead of those expected.
 func (b *Borrower) ask(now time.Time, account string, a *balance) (Ask, bool) {
+	// Tokens for half their life leave time to use them before they expire.
 	expected := a.demand.within(b.life/2) - len(a.tokens)
 	// Asking ahead for a single token costs more calls than it saves.
 	ahead := expected >= 2 && !now.Before(a.refusingUntil)
@@ -198,7 +202,8 @@
 	return false
 }
 
-// Return gives back the token of a request that no replica got.
+// Return gives back the token of a request that no replica got, and admits a request that waits with
+// it. It returns false if the token has expired.
 func (b *Borrower) Return(now time.Time, account string, until time.Time) ([]Outcome, bool) {
 	a := b.accounts[account]
 	if a == nil || !now.Before(until) {
@@ -221,10 +226,10 @@
 
 // prune removes accounts that have been idle.
 func (b *Borrower) prune(now time.Time) {
-	if now.Sub(b.pruned) < idleTime {
+	if now.Sub(b.prunedAt) < idleTime {
 		return
 	}
-	b.pruned = now
+	b.prunedAt = now
 	for name, a := range b.accounts {
 		if len(a.waiting) == 0 && !a.asking && now.Sub(a.demand.began) >= idleTime {
 			delete(b.accounts, name)
--- a/quota/granting.go
+++ b/quota/granting.go
@@ -22,7 +22,7 @@
 		}
 		messages = l.stepDown(now, c.From)
 	}
-	return l.decide(now, c), messages
+	return l.grantShare(now, c), messages
 }
 
 // heardFrom returns the lender that this host has heard from itself; empty if there is none. What it
@@ -42,18 +42,20 @@
 	return held > otherHeld || held == otherHeld && address < otherAddress
 }
 
-// decide grants this host's share if it isn't granted to another lender.
-func (l *Lender) decide(now time.Time, c Claim) ClaimReply {
+// grantShare grants this host's share to the lender that claims it, unless another one holds it.
+func (l *Lender) grantShare(now time.Time, c Claim) ClaimReply {
 	reply := ClaimReply{Hosts: l.hostCount}
 	granted := now.Before(l.grant.until)
 	switch {
 	case now.Before(l.mayGrantFrom):
+		// The lender can still be asked for tokens, which it lends from the other shares.
 		l.hint = grant{to: c.From, until: now.Add(grantTime)}
 	case granted && l.grant.to != c.From:
 		reply.Lender = l.grant.to
 	case l.grant.to == c.From && l.grant.run == c.Run && c.Number <= l.grant.number:
 		// An older message. The lender may have released the share since.
 	default:
+		// The renewal of a grant brings no fresh tokens.
 		reply.Fresh = !(granted && l.grant.run == c.Run) && l.takeFresh(now)
 		mixed := granted && (l.grant.mixed || l.grant.run != c.Run)
 		l.grant = grant{to: c.From, run: c.Run, number: c.Number, mixed: mixed, until: now.Add(grantTime)}
@@ -72,7 +74,7 @@
 }
 
 // released ends the grant to a lender that no longer uses the share. It returns claims if this host
-// lends next.
+// lends next. A late release is ignored: the lender may have claimed the share again since.
 func (l *Lender) released(now time.Time, c Claim) []Message {
 	if l.grant.to != c.From || l.grant.run != c.Run || l.grant.mixed || c.Number <= l.grant.number {
 		return nil
@@ -93,10 +95,3 @@
 	}
 	return nil
 }
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -30,11 +30,11 @@
 	forgetInterval = 5 * time.Second
 )
 
-// grant is this host's grant of its share.
+// grant is this host's grant of its share to a lender.
 type grant struct {
 	to     string
-	run    uint64
-	number uint64
+	run    uint64 // of the lender's process
+	number uint64 // of its last claim or release
 	// mixed is set if messages of several processes of the lender's host extended the grant. A
 	// release may then be an older process's.
 	mixed bool
@@ -64,22 +64,27 @@
 	lastFresh time.Time
 	hosts     []Host
 	rank      int // of this host among the candidates
-	hostCount int // the largest number of hosts that is known here
-
-	// watching is since when this host could have heard a lender's claims, and lastTick the time
-	// of the last Tick.
-	watching, lastTick time.Time
-
-	grant   grant
-	hint    grant // a lender that works without this host's share
-	lending bool
-	began   time.Time // when this host became the lender
-	peers   map[string]*peerState
-	pool    *pool
-	number  uint64
-	forgot  time.Time
-	// asked is the number of the host that was last asked for the lender, and nextAsk when the
-	// next one is asked.
+	// hostCount is the largest number of hosts that this one has heard of. A lender that divided by
+	// fewer hosts than there are would lend more than its part of the quotas.
+	hostCount int
+
+	// listeningSince is since when this host could have heard a lender's claims, and lastTick the
+	// time of the last Tick.
+	listeningSince, lastTick time.Time
+
+	grant grant
+	// hint names the lender to ask for tokens while this host's share isn't granted, as other
+	// hosts, the last lender or a claim before mayGrantFrom told.
+	hint grant
+
+	lending      bool
+	lendingSince time.Time
+	peers        map[string]*peerState // by address
+	pool         *pool
+	number       uint64    // of the last claim
+	forgotAt     time.Time // when full buckets were removed last
+	// asked counts the claims that ask for the lender, which go to one host after the other, and
+	// nextAsk is when the next one is due.
 	asked   int
 	nextAsk time.Time
 }
@@ -110,13 +115,21 @@
 // SetHosts replaces the list of all hosts, this one included.
 func (l *Lender) SetHosts(hosts []Host) {
 	l.hosts = slices.Clone(hosts)
-	slices.SortFunc(l.hosts, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)), cmp.Compare(a.Address, b.Address))
-	})
+	slices.SortFunc(l.hosts, compareHosts)
 	l.rank = max(slices.IndexFunc(l.hosts, func(h Host) bool { return h.Address == l.self }), 0)
 	l.hostCount = max(l.hostCount, len(l.hosts))
 }
 
+// compareHosts sorts hosts in the order in which they should lend, which is the same on all hosts:
+// the strongest first, because the lender serves all others, and then by a hash.
+func compareHosts(a, b Host) int {
+	return cmp.Or(
+		cmp.Compare(b.Cores, a.Cores),
+		cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)),
+		cmp.Compare(a.Address, b.Address),
+	)
+}
+
 // Current returns the host to ask for tokens, which may be this one; empty if none is known.
 func (l *Lender) Current(now time.Time) string {
 	if lender := l.heardFrom(now); lender != "" {
@@ -128,7 +141,7 @@
 	return ""
 }
 
-// Vacancy returns how long it may take until a host is known that lends tokens.
+// Vacancy estimates how long it takes until a host is known that lends tokens.
 func (l *Lender) Vacancy(now time.Time) time.Duration {
 	return min(max(l.lastLender().Sub(now), 0), grantTime) + 2*rankDelay
 }
@@ -136,7 +149,7 @@
 // lastLender returns until when another host may be the lender as far as this one knows.
 func (l *Lender) lastLender() time.Time {
 	last := l.mayGrantFrom
-	for _, t := range []time.Time{l.grant.until, l.hint.until, l.watching.Add(claimInterval)} {
+	for _, t := range []time.Time{l.grant.until, l.hint.until, l.listeningSince.Add(claimInterval)} {
 		if t.After(last) {
 			last = t
 		}
@@ -178,8 +191,8 @@
 	}
 	l.grantToSelf(now)
 	l.refresh(now)
-	if now.Sub(l.forgot) >= forgetInterval {
-		l.forgot = now
+	if now.Sub(l.forgotAt) >= forgetInterval {
+		l.forgotAt = now
 		l.pool.forget(quotaOf)
 	}
 	return l.dueClaims(now)
@@ -188,7 +201,7 @@
 // resume begins anew after the first Tick, or after a suspension in which all grants have ended. The
 // list may have become longer meanwhile, which the other hosts tell.
 func (l *Lender) resume(now time.Time) {
-	l.watching = now
+	l.listeningSince = now
 	l.lending = false
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
@@ -206,7 +219,7 @@
 
 // start makes this host the lender.
 func (l *Lender) start(now time.Time) {
-	l.lending, l.began = true, now
+	l.lending, l.lendingSince = true, now
 	l.peers = map[string]*peerState{}
 	l.pool = newPool(l.bounds)
 	l.grantToSelf(now)
@@ -220,9 +233,11 @@
 func (l *Lender) shareOfOne() float64 { return 1 / float64(max(l.hostCount, 1)) }
 
 // findLender asks one host after the other for the lender, if this host has no grant that names it.
-// The lender's list may lack this host.
+// The lender's list may lack this host. A hint is renewed two claim intervals before it ends, so that
+// one lost message doesn't leave this host without a lender.
 func (l *Lender) findLender(now time.Time) []Message {
-	if now.Before(l.grant.until) || now.Add(2*claimInterval).Before(l.hint.until) || now.Before(l.nextAsk) || len(l.hosts) == 0 {
+	known := now.Before(l.grant.until) || now.Add(2*claimInterval).Before(l.hint.until)
+	if known || now.Before(l.nextAsk) || len(l.hosts) == 0 {
 		return nil
 	}
 	l.nextAsk = now.Add(claimInterval)
@@ -241,7 +256,7 @@
 	l.peers[l.self] = &peerState{grantedUntil: until, nextClaim: until}
 }
 
-// dueClaims returns the claims that are due. The first ones all are.
+// dueClaims returns the claims that are due. A new lender claims all shares at once.
 func (l *Lender) dueClaims(now time.Time) []Message {
 	for _, h := range l.hosts {
 		if h.Address != "" && l.peers[h.Address] == nil {
@@ -281,20 +296,13 @@
 		return nil
 	}
 	p := l.peers[m.To]
-	if !l.lending || p == nil || m.SentAt.Before(l.began) {
+	if !l.lending || p == nil || m.SentAt.Before(l.lendingSince) {
 		return nil
 	}
 	p.unanswered = 0
 	l.refresh(now)
 	if reply.Granted {
-		if until := m.SentAt.Add(grantTime); until.After(p.grantedUntil) {
-			p.grantedUntil = until
-		}
-		l.refresh(now)
-		if reply.Fresh && now.Before(p.grantedUntil) && m.Claim.Number > p.freshNumber {
-			p.freshNumber = m.Claim.Number
-			l.pool.addFresh(l.shareOfOne())
-		}
+		l.granted(now, p, m, reply.Fresh)
 		return nil
 	}
 	if reply.Lender != "" {
@@ -307,6 +315,20 @@
 	return nil
 }
 
+// granted records that a host granted its share. The grant counts from the time at which the claim
+// was sent, because the host can't have granted earlier than that.
+func (l *Lender) granted(now time.Time, p *peerState, m Message, fresh bool) {
+	if until := m.SentAt.Add(grantTime); until.After(p.grantedUntil) {
+		p.grantedUntil = until
+	}
+	l.refresh(now)
+	// A repeated reply brings no more fresh tokens.
+	if fresh && now.Before(p.grantedUntil) && m.Claim.Number > p.freshNumber {
+		p.freshNumber = m.Claim.Number
+		l.pool.addFresh(l.shareOfOne())
+	}
+}
+
 // StepDown ends the lending of this host and returns messages that free the shares that it held, for
 // the next one of the candidates.
 func (l *Lender) StepDown(now time.Time) []Message {
@@ -320,6 +342,7 @@
 	return l.stepDown(now, next)
 }
 
+// stepDown ends the lending of this host in favour of the next lender, which may be empty.
 func (l *Lender) stepDown(now time.Time, next string) []Message {
 	if !l.lending {
 		return nil
@@ -346,7 +369,7 @@
 // Lend lends tokens of an account: one for each request that waits, and some for those expected
 // soon. It returns false if this host isn't the lender.
 func (l *Lender) Lend(now time.Time, account string, q Quota, waiting, expected int) (Loan, bool) {
-	if !l.lending || now.Sub(l.began) < settleTime && len(l.hosts) > 1 {
+	if !l.lending || now.Sub(l.lendingSince) < settleTime && len(l.hosts) > 1 {
 		return Loan{}, false
 	}
 	l.refresh(now)
@@ -358,3 +381,10 @@
 
 // Accounts returns the number of accounts with a token bucket.
 func (l *Lender) Accounts() int { return len(l.pool.buckets) }
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -4,8 +4,8 @@
 
 // Host is a host that shares the quotas. Its address identifies it.
 type Host struct {
-	Address string
-	Cores   float64
+	Address string  // empty if the host can't be called
+	Cores   float64 // hosts with more cores lend first
 }
 
 // ClaimKind is what a claim asks for.
@@ -24,7 +24,8 @@
 type Claim struct {
 	Kind ClaimKind
 	From string
-	// Run identifies the process of the lender; Number rises with its claims of a host.
+	// Run identifies the process of the lender, and Number rises with its claims, so that late and
+	// repeated ones are recognized.
 	Run    uint64
 	Number uint64
 	// Hosts is the number of hosts that the lender knows.
@@ -38,8 +39,8 @@
 // ClaimReply answers a claim.
 type ClaimReply struct {
 	Granted bool
-	// Fresh is set if the share comes with tokens at once: the host has not granted any that did
-	// for long enough.
+	// Fresh is set if the lender may lend some tokens of the share at once, although its bucket
+	// begins empty. A host grants its share so only once in a while (Bounds.freshInterval).
 	Fresh bool
 	// Hosts is the number of hosts that the host knows.
 	Hosts int
@@ -62,7 +63,7 @@
 // Loan is a lender's answer to a host that asks for tokens.
 type Loan struct {
 	Tokens int
-	// RoomIn is when the account has a token again, if fewer were lent than requests wait, and
-	// Spread the time that those refused lately need from then on.
+	// RoomIn is the time until the account has a token again, if fewer were lent than requests
+	// wait, and Spread the time that those refused lately need from then on.
 	RoomIn, Spread time.Duration
 }
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -308,8 +308,8 @@
 	share float64
 }
 
-// request1 makes one request at a host.
-func (s *sim) request1(h *simHost) {
+// requestAt makes one request at a host.
+func (s *sim) requestAt(h *simHost) {
 	s.asked++
 	s.request++
 	s.arrived[s.request] = s.now
@@ -385,7 +385,7 @@
 			// Several times the quota, from all hosts.
 			for range 1 + int(4*q.RequestsPerSecond*simStep.Seconds()) {
 				if h := s.hosts[s.random.IntN(len(s.hosts))]; h.alive && !h.paused {
-					s.request1(h)
+					s.requestAt(h)
 				}
 			}
 			s.step()
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// maxDrops bounds the drops of its share that a pool remembers.
+// maxDrops bounds the drops of its share that a pool remembers: each use of a bucket goes through
+// all of them.
 const maxDrops = 32
 
 // pool is the token buckets of all accounts at a lender, for the share of the hosts whose grants
@@ -18,10 +19,11 @@
 type pool struct {
 	bounds Bounds
 
-	share float64
-	at    time.Time
-	// elapsed is the integral of the share over the time since it rose from 0, in seconds, and fresh the
-	// sum of the fresh shares that were added.
+	share     float64   // of all hosts, from 0 to 1
+	updatedAt time.Time // up to when elapsed is right
+	// elapsed is the integral of the share over the time since it rose from 0, in seconds, and
+	// fresh the sum of the fresh shares that were added. With them, a bucket is brought up to date
+	// only when it is used.
 	elapsed, fresh float64
 
 	drops    []drop
@@ -41,8 +43,8 @@
 type bucket struct {
 	level          float64
 	elapsed, fresh float64 // of the pool when level was right
-	nextDrop       uint64
-	// refused is the number of refusals lately, for the time that they need.
+	nextDrop       uint64  // the first drop that level doesn't take into account
+	// refused is the number of refusals lately, which decays with refusedMemory.
 	refused   float64
 	refusedAt time.Time
 }
@@ -56,13 +58,14 @@
 		return
 	}
 	if p.share == 0 {
-		p.at = now
+		p.updatedAt = now
 	}
-	// The share between two calls is at least the smaller one.
+	// Grants may have ended at any time since the last call. The share was at least the smaller
+	// one all the time.
 	lowest := min(share, p.share)
-	if now.After(p.at) {
-		p.elapsed += lowest * now.Sub(p.at).Seconds()
-		p.at = now
+	if now.After(p.updatedAt) {
+		p.elapsed += lowest * now.Sub(p.updatedAt).Seconds()
+		p.updatedAt = now
 	}
 	if share < p.share {
 		p.addDrop(share)
@@ -90,6 +93,7 @@
 		return size.rate*(p.elapsed-elapsed) + size.fresh*(p.fresh-fresh)
 	}
 	level := min(b.level+grown(b.elapsed, b.fresh), size.depth*p.share)
+	// Right after a drop, the bucket held at most its depth for the share then.
 	for _, d := range p.drops {
 		if d.number >= b.nextDrop {
 			level = min(level, size.depth*d.share+grown(d.elapsed, d.fresh))
@@ -130,9 +134,11 @@
 	return loan
 }
 
-// refusedMemory is how long refusals count towards the time at which their callers can be served.
+// refusedMemory is the time constant with which refusals cease to count towards the time that their
+// callers are spread over.
 const refusedMemory = time.Second
 
+// addRefused adds refusals to those that have not decayed yet.
 func (b *bucket) addRefused(now time.Time, n int) {
 	b.refused = b.refused*math.Exp(-now.Sub(b.refusedAt).Seconds()/refusedMemory.Seconds()) + float64(n)
 	b.refusedAt = now
@@ -141,7 +147,7 @@
 // maxRoomIn bounds the times that callers are told to wait.
 const maxRoomIn = 30 * time.Second
 
-// timeFor returns how long a number of tokens takes.
+// timeFor returns how long it takes to get a number of tokens, up to maxRoomIn.
 func timeFor(tokens, rate float64) time.Duration {
 	seconds := max(tokens, 0) / rate // infinite or not a number without a rate
 	if !(seconds < maxRoomIn.Seconds()) {
@@ -150,8 +156,8 @@
 	return time.Duration(seconds*float64(time.Second)) + time.Microsecond // covers rounding errors
 }
 
-// forget removes the buckets that hold as much as an unused one would. The quota of an account
-// that no longer exists is 0.
+// forget removes the buckets that hold as much as an unused one would. QuotaOf returns the zero
+// Quota for an account that no longer exists.
 func (p *pool) forget(quotaOf func(account string) Quota) {
 	for account, b := range p.buckets {
 		size := p.bounds.size(quotaOf(account))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -2,10 +2,11 @@
 // another host for each request.
 //
 // Every host owns an equal share of every quota and grants it, for a short time, to one host,
-// the lender. The lender adds the shares that it holds to one token bucket for each account and
-// lends tokens to the hosts that need them. A lent token expires soon. A share is granted to one
-// lender at a time, so that all lenders together never lend more than the quotas allow, whatever
-// is cut off: a lender with some of the hosts lends their part of each quota.
+// the lender. The lender claims the shares of all hosts. It keeps one token bucket for each account,
+// with a rate and a depth in proportion to the shares that it holds, and lends tokens to the hosts
+// that need them. A lent token expires soon. A share is granted to one lender at a time, so that all
+// lenders together never lend more than the quotas allow, whatever is cut off: a lender with some of
+// the hosts lends their part of each quota.
 //
 // Lender decides on grants and lends; Borrower decides for each request of a caller. Both do no
 // I/O, are told the time, and are not safe for concurrent use. The time must not stop while the
@@ -24,8 +25,8 @@
 // most (RequestsPerSecond x Window + Burst) x (1 + Overage) + Slack requests.
 type Bounds struct {
 	Window  time.Duration
-	Overage float64
-	Slack   float64
+	Overage float64 // as a fraction of the quota
+	Slack   float64 // in requests
 }
 
 const (
@@ -46,7 +47,7 @@
 	slackForStart = 0.3
 )
 
-// TokenLife returns how long a token may be used after the request for it was sent.
+// TokenLife returns how long a token may be used after the ask for it was sent.
 func (b Bounds) TokenLife() time.Duration {
 	life := time.Duration(overageForLife * b.Overage * float64(b.Window))
 	return min(max(life, minTokenLife), maxTokenLife)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -9,17 +9,18 @@
 
 var standardBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
-// run plays a time in which callers ask at some of the hosts whenever next returns true.
-func (s *sim) run(t time.Duration, callers int, next func() bool) {
-	for end := s.now.Add(t); s.now.Before(end); {
+// run plays a time. In each step, requests arrive at the first hosts, as many as callers, until next
+// returns false.
+func (s *sim) run(d time.Duration, callers int, next func() bool) {
+	for end := s.now.Add(d); s.now.Before(end); {
 		for next() {
-			s.request1(s.hosts[s.random.IntN(callers)])
+			s.requestAt(s.hosts[s.random.IntN(callers)])
 		}
 		s.step()
 	}
 }
 
-// conforming returns requests that arrive at random, twice as many as the quota, of which only
+// conforming returns a source of requests that arrive at random, at twice the rate of the quota. Only
 // those are made that a token bucket of the quota admits.
 func conforming(s *sim) func() bool {
 	level, at := s.quota.Burst, s.now
@@ -61,7 +62,7 @@
 	}
 }
 
-// always returns n requests in each step.
+// always returns a source of n requests in each step.
 func always(n int) func() bool {
 	left := n
 	return func() bool {
