rollout: explain versions, grants and limits, and correct two comments

The comments of RemoveOrder and withdraw said that the version of a removed order gets nothing more, or is as new as before; it gets requests where the service has no other replica, and a version that was in service before stays there. Other comments now give the reasons for limits and for side effects. The constants of admission (like, spare, granted, none) and the method outlasts have names that tell what they mean. Behaviour, bounds and the tests are as before.

--- a/rollout/candidate.go
+++ b/rollout/candidate.go
@@ -22,12 +22,13 @@
 
 // Free reports whether a host that does not lead may take the lead, given the present record, or
 // nil if there is none. A record without a leader was released. One of the host itself is of an
-// earlier run, or its write was not answered. Others are compared with the record read before, so that no clocks are compared.
+// earlier run, or its write was not answered. Any other must be unchanged for LeaseTime by this
+// host's clock, so that the clocks of two hosts are never compared.
 func (c *Candidate) Free(now time.Time, self string, order Order, present *Record) bool {
 	if present == nil || present.Order == order.OrderID && (present.Leader == self || present.Leader == "") {
 		return true
 	}
-	if present.Order != order.OrderID {
+	if present.Order != order.OrderID { // the later order replaces the other one
 		return order.Revision > present.OrderRevision
 	}
 	if !c.known || c.seen != *present {
@@ -48,7 +49,11 @@
 func Rank(serviceName string, hosts []Peer) []Peer {
 	ranked := slices.DeleteFunc(slices.Clone(hosts), func(p Peer) bool { return p.Address == "" })
 	slices.SortFunc(ranked, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(hash(serviceName, a.ID), hash(serviceName, b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(b.Cores, a.Cores),
+			cmp.Compare(hash(serviceName, a.ID), hash(serviceName, b.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	return ranked
 }
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -28,20 +28,22 @@
 }
 
 const (
-	// maxGrantLifetime bounds how long after its last contact with the leader a host uses a
-	// grant, and grantShare of the time for a roll-back does too.
+	// A host uses a grant for at most maxGrantLifetime, and at most grantShare of the time for a
+	// roll-back, after its last contact with the leader: the leader may have rolled back since.
 	maxGrantLifetime = 2 * time.Second
 	grantShare       = 0.5
 	// switchGrace is how long after the switch requests are still sent to old replicas that were
 	// chosen before.
 	switchGrace = 500 * time.Millisecond
-	// memberLifetime is how long after its last report a host is waited for.
+	// memberLifetime is how long after its last report the leader waits for a host to leave the old
+	// replicas. A host that has stopped must not hold up the completion.
 	memberLifetime = 3 * time.Second
 	// LeaseTime is how long the record of a roll-out must be unchanged before another host
 	// may lead, and RenewInterval the time between writes by its leader.
 	LeaseTime     = 2500 * time.Millisecond
 	RenewInterval = time.Second
-	// candidateDelay is how long each host leaves the lead to the one ranked before it.
+	// candidateDelay is how long each host leaves the lead to the one ranked before it, so that
+	// not all try to write the record at once.
 	candidateDelay = 600 * time.Millisecond
 )
 
--- a/rollout/host.go
+++ b/rollout/host.go
@@ -9,7 +9,7 @@
 	"github.com/marigoldlever/marigoldlever/replicas"
 )
 
-// standing is what a host knows of a version of a service apart from undecided orders.
+// standing is what a host knows of a version of a service, leaving undecided orders aside.
 type standing int
 
 const (
@@ -19,7 +19,7 @@
 	// service has no other replica, because an order for them may follow.
 	arrived
 	// withdrawn versions were named by an order that was removed before it was decided.
-	// They are treated like arrived ones, for any time.
+	// They are treated like arrived ones, but never settle by themselves.
 	withdrawn
 	// refused versions were rolled back or replaced. They get nothing until a new order.
 	refused
@@ -51,8 +51,8 @@
 	id       string
 	run      uint64
 	services map[string]*service
-	orders   map[string]Order // by name of the object, decided ones included
-	applied  map[OrderID]State
+	orders   map[string]Order  // by name of the object, decided ones included
+	applied  map[OrderID]State // final states that were carried out here
 	// listed is set once the replicas were listed: versions seen later are new.
 	listed bool
 	// ordersSince is since when the list of orders has been kept up to date; zero if it is
@@ -65,6 +65,7 @@
 	return &Host{cfg: cfg, id: id, run: run, services: map[string]*service{}, orders: map[string]Order{}, applied: map[OrderID]State{}}
 }
 
+// service returns what is known of a service, which may be nothing yet.
 func (h *Host) service(name string) *service {
 	s := h.services[name]
 	if s == nil {
@@ -154,7 +155,7 @@
 	}
 }
 
-// Fence returns the highest fencing number of a roll-out that this host has heard of.
+// Fence returns the number of the latest term of a leader that this host has heard of; 0 if none.
 func (h *Host) Fence(id OrderID) uint64 {
 	if t := h.trialOf(id); t != nil {
 		return t.fence
@@ -162,7 +163,8 @@
 	return 0
 }
 
-// RemoveOrder removes an order. Its version gets nothing more unless it was decided.
+// RemoveOrder removes an order. Unless it was decided, a version that was not in service before gets
+// requests only if the service has no other replica.
 func (h *Host) RemoveOrder(now time.Time, name string) {
 	if o, known := h.orders[name]; known {
 		delete(h.orders, name)
@@ -171,8 +173,8 @@
 	}
 }
 
-// withdraw ends an order that was removed or changed. Without an order, an undecided version
-// is as new as before.
+// withdraw ends an order that was removed or changed. If it was undecided, its version stays withheld
+// unless it was in service before: the operator may have changed their mind about it.
 func (h *Host) withdraw(o Order) {
 	s := h.service(o.Service)
 	v := s.versions[o.Version]
@@ -204,6 +206,7 @@
 	target.standing = settled
 }
 
+// version returns a version, which an order may name before its first replica is registered.
 func (s *service) version(name string) *version {
 	if s.versions[name] == nil {
 		s.versions[name] = &version{standing: arrived}
@@ -244,6 +247,7 @@
 	}
 }
 
+// updatePlain must be called after each change of the orders or of a standing.
 func (s *service) updatePlain() {
 	s.plain = len(s.orders) == 0
 	for _, v := range s.versions {
@@ -255,41 +259,42 @@
 type admission int
 
 const (
-	like    admission = iota // requests like all others
-	spare                    // requests only if there is no other replica
-	granted                  // granted requests only
-	none                     // no requests
+	admitAll     admission = iota // requests like all others
+	admitSpare                    // requests only if there is no other replica
+	admitGranted                  // granted requests only
+	admitNone                     // no requests
 )
 
-// admits returns what a version of the service may get now.
+// admits returns what a version of the service may get now. An arrived version settles here once it
+// has waited long enough; there is no timer for it.
 func (h *Host) admits(now time.Time, s *service, name string) admission {
 	v := s.versions[name]
 	if t := s.trial; t != nil {
 		switch {
 		case name == t.order.Version && t.open():
-			return like
+			return admitAll
 		case name == t.order.Version && !s.onlySettled(name):
-			return granted
+			return admitGranted
 		case t.open():
-			return none
+			return admitNone
 		}
 	}
 	if s.ordered(name) && !s.onlySettled(name) {
-		return none
+		return admitNone
 	}
 	switch {
-	case v == nil && len(s.versions) >= maxVersions:
-		return spare
+	case v == nil && len(s.versions) >= maxVersions: // it may be new, but was not recorded
+		return admitSpare
 	case v == nil || v.standing == settled:
-		return like
+		return admitAll
 	case v.standing == refused:
-		return none
+		return admitNone
 	case v.standing == arrived && h.settles(now, v):
 		v.standing = settled
 		s.updatePlain()
-		return like
+		return admitAll
 	}
-	return spare
+	return admitSpare
 }
 
 // settles reports whether an arrived version has waited long enough for an order.
@@ -320,9 +325,9 @@
 	return s.versions[name] != nil
 }
 
-// outlasts reports whether a replica of an old version that was chosen before the switch may
+// inSwitchGrace reports whether a replica of an old version that was chosen before the switch may
 // still get the request.
-func (s *service) outlasts(now time.Time, name string) bool {
+func (s *service) inSwitchGrace(now time.Time, name string) bool {
 	v := s.versions[name]
 	return s.trial != nil && s.trial.inGrace(now) && v != nil && v.standing == settled
 }
@@ -338,11 +343,11 @@
 	var tried *replicas.Candidate
 	for i, c := range candidates {
 		switch h.admits(now, s, c.Version) {
-		case like:
+		case admitAll:
 			chosen = append(chosen, c)
-		case spare:
+		case admitSpare:
 			spares = append(spares, c)
-		case granted:
+		case admitGranted:
 			if s.trial.balance(now) > 0 && c.Pause == 0 && (tried == nil || h.triedBefore(c, *tried)) {
 				tried = &candidates[i]
 			}
@@ -373,6 +378,7 @@
 	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(hash(a.ID), hash(b.ID)), cmp.Compare(a.ID, b.ID)) < 0
 }
 
+// hash returns a hash of strings that is the same on all hosts.
 func hash(parts ...string) uint64 {
 	f := fnv.New64a()
 	for _, p := range parts {
@@ -392,8 +398,8 @@
 func (p Pass) Exposes() bool { return p.new }
 
 // Admit permits a request to a replica right before it is sent, and takes a granted send if it
-// needs one. SpareAllowed tells whether the service has no other replica. Each pass must be
-// handed to Finish.
+// needs one. SpareAllowed tells whether the service has no other replica; it may be slow, and is
+// called only where that matters. Each pass must be handed to Finish.
 func (h *Host) Admit(now time.Time, serviceName, versionName string, spareAllowed func() bool) (Pass, bool) {
 	s := h.services[serviceName]
 	if s == nil || s.plain {
@@ -401,15 +407,15 @@
 	}
 	t := s.trial
 	switch h.admits(now, s, versionName) {
-	case none:
-		if !s.outlasts(now, versionName) {
+	case admitNone:
+		if !s.inSwitchGrace(now, versionName) {
 			return Pass{}, false
 		}
-	case spare:
+	case admitSpare:
 		if !spareAllowed() {
 			return Pass{}, false
 		}
-	case granted:
+	case admitGranted:
 		if t.balance(now) == 0 {
 			return Pass{}, false
 		}
@@ -426,16 +432,17 @@
 	return p, true
 }
 
-// Permits reports whether a request that was admitted may still be sent.
+// Permits reports whether a request that was admitted may still be sent, because getting a connection
+// may have taken some time.
 func (h *Host) Permits(now time.Time, serviceName, versionName string) bool {
 	s := h.services[serviceName]
 	if s == nil || s.plain {
 		return true
 	}
 	switch h.admits(now, s, versionName) {
-	case none:
-		return s.outlasts(now, versionName)
-	case granted:
+	case admitNone:
+		return s.inSwitchGrace(now, versionName)
+	case admitGranted:
 		return s.trial.mayTry(now)
 	}
 	return true
@@ -500,6 +507,7 @@
 	return h.service(serviceName).onlySettled(versionName)
 }
 
+// trialOf returns the trial of an order, or nil if the order isn't being carried out.
 func (h *Host) trialOf(id OrderID) *trial {
 	s := h.services[id.Service]
 	if s == nil || s.trial == nil || s.trial.order.OrderID != id {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -9,6 +9,7 @@
 type Verdict int
 
 const (
+	// Good versions have no more bad answers than the old version, apart from chance.
 	Good Verdict = iota
 	// Suspicious versions have more bad answers than the old version, but too few to tell.
 	Suspicious
@@ -33,7 +34,8 @@
 	// expected, and no answer is slow.
 	minOldAnswers   = 10
 	assumedFailures = 0.05
-	// minFailures and minSlow are the lowest shares that an old version is taken to have.
+	// minFailures and minSlow are the lowest shares that an old version is taken to have: a
+	// version with no bad answer among few would otherwise leave no room for chance.
 	minFailures, minSlow = 0.01, 0.02
 	// A version is bad, or suspicious, if its failures or slow answers exceed those that the old
 	// version would have had by a number of answers plus a number of standard deviations. Slow
@@ -48,8 +50,8 @@
 	expected, variance float64
 }
 
-// newSample returns the sample of bad ones among a number of answers, of which a share is
-// expected.
+// newSample returns the sample of bad answers among all, of which a share is expected to be bad. The
+// number of bad ones is taken to have a binomial distribution.
 func newSample(answers, bad int, share float64) sample {
 	expected := min(share, 1) * float64(answers)
 	return sample{bad: bad, expected: expected, variance: expected * (1 - min(share, 1))}
@@ -111,6 +113,7 @@
 	return c.Answered.total() + c.Failed + c.Cut.above(slowLimit)
 }
 
+// slow returns the number of answers above a latency, requests that were cut included.
 func (c *Counts) slow(slowLimit time.Duration) int {
 	return c.Answered.above(slowLimit) + c.Cut.above(slowLimit)
 }
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -64,8 +64,8 @@
 	// used is an upper bound of the sends that were granted and not returned: the reserve of
 	// the earlier terms and the grants of this one.
 	used       int
-	usedBefore int // of that, the reserve of the earlier terms
-	switchedAt time.Time
+	usedBefore int       // of that, the reserve of the earlier terms
+	switchedAt time.Time // when hosts were first told to switch in this term
 }
 
 // NewLeader returns the leader of a term that was written to the store as record. Seen is when
@@ -77,7 +77,8 @@
 	}
 	l := &Leader{
 		cfg: cfg, order: order, ledSince: now, began: began, stored: record, base: record.Requests,
-		phase: record.Phase, wanted: record.Phase, members: map[string]*member{}, results: Tally{}, used: record.Reserve, usedBefore: record.Reserve,
+		phase: record.Phase, wanted: record.Phase, members: map[string]*member{}, results: Tally{},
+		used: record.Reserve, usedBefore: record.Reserve,
 	}
 	if l.phase == PhaseSwitching {
 		l.switchedAt = now
@@ -105,6 +106,7 @@
 	return r
 }
 
+// final reports whether a roll-out in the phase has been decided.
 func (p Phase) final() bool { return p == PhaseCompleted || p == PhaseRolledBack }
 
 // Record returns the record that was stored last.
@@ -159,13 +161,15 @@
 }
 
 // rollBackIfBad rolls back a version that is bad. Hosts are told at once, before it is stored:
-// the next leader would see the same results.
+// the next leader would see the same results. Once the completion may have been stored, it is too
+// late.
 func (l *Leader) rollBackIfBad() {
 	if (l.phase == PhaseTrial || l.phase == PhaseSwitching) && l.wanted != PhaseCompleted && l.evidence.Verdict == Bad {
 		l.phase, l.wanted = PhaseRolledBack, PhaseRolledBack
 	}
 }
 
+// reply returns the answer to a report of a host.
 func (l *Leader) reply(m *member) Reply {
 	return Reply{Order: l.order.OrderID, Fence: l.stored.Fence, Phase: l.phase, Granted: m.granted}
 }
@@ -183,7 +187,7 @@
 }
 
 // grant gives a host sends to the new version: as many as it had requests lately, and one at
-// least, as far as the bound leaves room.
+// least, as far as the bound and the stored reserve leave room.
 func (l *Leader) grant(now time.Time, m *member) {
 	held := m.granted
 	if m.last.Fence == l.stored.Fence {
@@ -291,8 +295,8 @@
 	r.Phase = l.wanted
 	r.ElapsedMS = now.Sub(l.began).Milliseconds()
 	r.Requests = l.requests()
-	// The reserve covers the grants until the next record, and never falls: the result of a
-	// write may be unknown.
+	// The reserve covers the grants until the next record, with room for the allowance to double. It
+	// never falls, because the result of a write may be unknown.
 	r.Reserve = max(r.Reserve, l.used, min(int(l.bound()), 2*l.allowance(now)+firstGrants))
 	r.Renewals++
 	return r, l.stored.Phase != l.wanted
--- a/rollout/message.go
+++ b/rollout/message.go
@@ -25,8 +25,8 @@
 	// Requests are the sends to all versions of the service since the host saw the order.
 	Requests int   `json:"requests"`
 	Tally    Tally `json:"tally,omitempty"`
-	// Fence is the term of the leader whose grants the host uses. Spent are the granted sends
-	// that it used in this term, and Returned those that lapsed.
+	// Fence is the number of the leader's term (Record.Fence) whose grants the host uses. Spent
+	// are the granted sends that it used in this term, and Returned those that lapsed.
 	Fence    uint64 `json:"fence"`
 	Spent    int    `json:"spent,omitempty"`
 	Returned int    `json:"returned,omitempty"`
@@ -66,7 +66,8 @@
 	// ElapsedMS is the time since the order was seen.
 	ElapsedMS int64 `json:"elapsed_ms"`
 	// Requests are the known sends to the service since the order, and Reserve an upper
-	// bound of the sends to the new version that all leaders have granted.
+	// bound of the sends to the new version that all leaders have granted. A leader grants no
+	// more than the stored reserve, so that the next one knows the bound.
 	Requests int `json:"requests"`
 	Reserve  int `json:"reserve"`
 	// Renewals distinguishes writes that change nothing else.
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -27,10 +27,12 @@
 	// twice the latency. The first ends at 1 ms.
 	buckets            = 64
 	bucketsPerDoubling = 4
-	// maxRoutes bounds the routes that are counted separately; the others are counted as one.
+	// maxRoutes bounds the routes that are counted separately, and so the size of a report; the
+	// others are counted as one.
 	maxRoutes = 16
 )
 
+// bucketOf returns the bucket of a latency.
 func bucketOf(latency time.Duration) int {
 	ms := float64(latency) / float64(time.Millisecond)
 	return min(max(int(math.Ceil(bucketsPerDoubling*math.Log2(max(ms, 1)))), 0), buckets-1)
@@ -79,6 +81,7 @@
 	Cut      Histogram `json:"cut,omitempty"`
 }
 
+// record counts the result of a request.
 func (c *Counts) record(r Result, latency time.Duration) {
 	switch r {
 	case Failed:
@@ -90,6 +93,7 @@
 	}
 }
 
+// count adds requests to a bucket, and makes the histogram if there is none.
 func count(h *Histogram, bucket, n int) {
 	if *h == nil {
 		*h = Histogram{}
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -9,7 +9,7 @@
 	// lifetime is how long after the last contact with the leader grants are used.
 	lifetime time.Duration
 	phase    Phase
-	// switchedAt is when the phase of the switch began.
+	// switchedAt is when this host entered PhaseSwitching.
 	switchedAt time.Time
 	// stopped is set once this host alone has seen that the version is bad.
 	stopped bool
@@ -34,7 +34,7 @@
 	return !t.stopped && (t.phase == PhaseSwitching || t.phase == PhaseCompleted)
 }
 
-// inGrace reports whether requests that were about to be sent when the phase of the switch began
+// inGrace reports whether requests that were about to be sent when this host entered PhaseSwitching
 // may still go to old replicas.
 func (t *trial) inGrace(now time.Time) bool {
 	return t.phase == PhaseSwitching && now.Before(t.switchedAt.Add(switchGrace))
@@ -53,6 +53,8 @@
 	return t.granted - t.spent - t.returned
 }
 
+// finish records how a request ended. A host that has seen enough failures stops at once, without
+// waiting for the leader.
 func (t *trial) finish(p Pass, route string, r Result, latency time.Duration) {
 	counts := &t.tally.route(route).New
 	if !p.new {
@@ -76,7 +78,7 @@
 	if t.inGrace(now) {
 		phase = PhaseTrial // the leader has to wait for the requests that are still sent
 	}
-	tally := Tally{}
+	tally := Tally{} // a copy: the report is encoded while requests go on
 	tally.add(t.tally)
 	return Report{
 		Order: t.order.OrderID, Sequence: t.sequence, Requests: t.requests, Tally: tally,
@@ -103,6 +105,7 @@
 	}
 }
 
+// enter applies a phase that the leader told.
 func (t *trial) enter(now time.Time, p Phase) {
 	if p == PhaseSwitching && t.phase != PhaseSwitching {
 		t.switchedAt = now
@@ -110,8 +113,10 @@
 	t.phase = p
 }
 
+// phaseRank is the order in which the phases of a roll-out follow each other.
 var phaseRank = map[Phase]int{PhaseTrial: 0, PhaseSwitching: 1, PhaseCompleted: 2, PhaseRolledBack: 3}
 
+// heardOrBegan returns since when no leader has replied.
 func (t *trial) heardOrBegan() time.Time {
 	if t.heard.IsZero() {
 		return t.began
