entry: say why calls about quotas are relayed, bounded and delivered so

The comments on the limits of relayed claims and on the wait of a request did not tell what depends on them: the order of the two timeouts, the common claim of a group, and the lock under which an outcome is delivered. Behaviour is as before.

--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -60,8 +60,8 @@
 	waiting map[uint64]chan quota.Outcome
 	// over holds the accounts over their quota, as far as this host lends their tokens.
 	over    map[string]*overQuota
-	lending bool
-	stopped bool
+	lending bool // as logged last
+	stopped bool // this host stops, and lends no more
 	// needed is closed when a version of the configuration has quotas.
 	needed     chan struct{}
 	markNeeded func()
@@ -72,8 +72,8 @@
 
 // overQuota is a time in which an account is over its quota.
 type overQuota struct {
-	refused int
-	last    time.Time
+	refused int       // requests since the first refusal
+	last    time.Time // of the last refusal
 }
 
 // EnableQuotas makes the entry keep the quotas of client accounts, together with the other hosts.
@@ -110,6 +110,7 @@
 	return time.Unix(t.Unix())
 }
 
+// setBounds applies new bounds.
 func (q *quotas) setBounds(bounds quota.Bounds) {
 	if q == nil {
 		return
@@ -120,6 +121,7 @@
 	q.borrower.SetBounds(bounds)
 }
 
+// setHosts applies a new list of all hosts.
 func (q *quotas) setHosts(list []watchers.Host) {
 	if q == nil {
 		return
@@ -135,7 +137,7 @@
 	q.lender.SetHosts(hosts)
 }
 
-// join tells that this host is new on the list of hosts. When all hosts are new, none has a list
+// join tells the lender that this host is new on the list of hosts. When all hosts are new, none has a list
 // without the others, and there is nothing to wait for.
 func (q *quotas) join() {
 	if q == nil || q.entry.settings.FirstStart {
@@ -152,7 +154,8 @@
 	if q == nil || out.account == nil || !out.account.HasQuota() {
 		return answer{}, false
 	}
-	result := q.request(ctx, out.account.Name, min(max(time.Duration(quotaWaitShare*float64(latencyGoal)), minQuotaWait), maxQuotaWait))
+	maxWait := min(max(time.Duration(quotaWaitShare*float64(latencyGoal)), minQuotaWait), maxQuotaWait)
+	result := q.request(ctx, out.account.Name, maxWait)
 	switch result.Verdict {
 	case quota.Admitted:
 		q.admitted.Inc(1)
@@ -160,6 +163,7 @@
 		return answer{}, false
 	case quota.OverQuota:
 		q.refused.Inc(1)
+		// Callers that are refused together come back at different times.
 		retryAfter := result.RoomIn + time.Duration(rand.Float64()*float64(result.Spread))
 		return refusal(verdictOverQuota, retryAfter, "the request has not run: the account is over its quota"), true
 	}
@@ -198,18 +202,19 @@
 	return q.abandon(account, id, verdict)
 }
 
-// abandon ends the wait of a request.
+// abandon ends the wait of a request. It returns the outcome if the request was decided meanwhile.
 func (q *quotas) abandon(account string, id uint64, verdict chan quota.Outcome) quota.Outcome {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.waiting, id)
 	if !q.borrower.Abandon(account, id) {
-		return <-verdict // it was decided just now
+		return <-verdict // filled by deliver under the same lock, so that this does not block
 	}
 	return quota.Outcome{Request: id, Verdict: quota.Wait}
 }
 
-// deliver passes outcomes to the requests that wait. The caller holds mu.
+// deliver passes outcomes to the requests that wait. The caller holds mu since the borrower decided,
+// so that each of these requests still has its channel.
 func (q *quotas) deliver(outcomes []quota.Outcome) {
 	for _, o := range outcomes {
 		q.waiting[o.Request] <- o
@@ -277,7 +282,8 @@
 func (q *quotas) lend(account string, waiting, expected int) (quota.Loan, error) {
 	limit, known := q.quotaOf(account)
 	if !known {
-		// A host with another version of the configuration has a quota for the account.
+		// The host that asks has another version of the configuration, which has a quota for the
+		// account. By this one, nothing bounds its requests.
 		return quota.Loan{Tokens: waiting}, nil
 	}
 	q.mu.Lock()
@@ -370,7 +376,8 @@
 	}
 }
 
-// stop frees the shares that this host holds.
+// stop frees the shares that this host holds, so that the next lender need not wait until the grants
+// end.
 func (q *quotas) stop() {
 	if q == nil {
 		return
@@ -382,6 +389,7 @@
 	q.send(context.Background(), messages)
 }
 
+// handleBorrow lends tokens to another host.
 func (q *quotas) handleBorrow(_ context.Context, r peer.Request) (any, error) {
 	var request borrowRequest
 	if err := r.Decode(&request); err != nil {
--- a/internal/entry/quota_claims.go
+++ b/internal/entry/quota_claims.go
@@ -16,10 +16,11 @@
 const (
 	// claimTimeout is the timeout of a claim. A later answer is of little use.
 	claimTimeout = 200 * time.Millisecond
-	// relayedTimeout is the timeout of a claim that is passed on for a lender.
+	// relayedTimeout is the timeout of a claim that is passed on for a lender. It is shorter than
+	// claimTimeout, so that the replies get back to the lender although one host doesn't answer.
 	relayedTimeout = 100 * time.Millisecond
-	// minRelayed and maxRelayed are the numbers of claims that go to hosts of a data centre
-	// through one of them.
+	// From minRelayed claims on, those to the hosts of a data centre go through one of them, which
+	// gets at most maxRelayed in one call.
 	minRelayed = 4
 	maxRelayed = 24
 )
@@ -45,7 +46,8 @@
 	}
 }
 
-// sendGroup sends claims with the same content.
+// sendGroup sends messages to hosts of one data centre. They all carry the same claim: a lender makes
+// one for all hosts each time.
 func (q *quotas) sendGroup(ctx context.Context, group []quota.Message) {
 	if len(group) >= minRelayed {
 		go q.relay(ctx, group)
@@ -68,7 +70,8 @@
 	q.handleReply(ctx, m, reply)
 }
 
-// relay sends claims through one of the hosts.
+// relay sends claims through one of the hosts. It is chosen at random, so that one that has failed
+// doesn't keep the claims from the others of its data centre for long.
 func (q *quotas) relay(ctx context.Context, group []quota.Message) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -89,6 +92,8 @@
 	}
 }
 
+// handleReply passes the reply to a claim to the lender and sends what follows from it. The timeout of
+// the claim doesn't apply to that.
 func (q *quotas) handleReply(ctx context.Context, m quota.Message, reply claimReply) {
 	q.mu.Lock()
 	next := q.lender.HandleReply(bootTime(), m, reply.reply())
@@ -96,6 +101,7 @@
 	q.send(context.WithoutCancel(ctx), next)
 }
 
+// handleClaim answers the claim of another host.
 func (q *quotas) handleClaim(_ context.Context, r peer.Request) (any, error) {
 	var request claimRequest
 	if err := r.Decode(&request); err != nil {
@@ -104,6 +110,7 @@
 	return q.answerClaim(request), nil
 }
 
+// answerClaim answers a claim and sends what follows from it.
 func (q *quotas) answerClaim(request claimRequest) claimReply {
 	q.mu.Lock()
 	reply, messages := q.lender.HandleClaim(bootTime(), request.claim())
