--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -24,8 +24,9 @@
 const methodReport = "rollout.report"
 
 const (
-	// reportInterval is the time between the reports of a host, and of which each host of the
-	// tier adds reportIntervalPerHost once there are many.
+	// reportInterval is the time between two reports of a host. With many hosts it is
+	// reportIntervalPerHost for each of them, which bounds the reports that a leader gets in a
+	// second.
 	reportInterval        = 500 * time.Millisecond
 	reportIntervalPerHost = 5 * time.Millisecond
 	// reportTimeout is the timeout of a report.
@@ -92,6 +93,7 @@
 	node.Handle(methodReport, e.rollouts.handleReport)
 }
 
+// setHosts applies a new list of all hosts.
 func (r *rollouts) setHosts(hosts []watchers.Host) {
 	if r == nil {
 		return
@@ -220,13 +222,14 @@
 	s.available(now, false)
 }
 
+// available tells the host whether the list of orders is kept up to date.
 func (s orderSink) available(now time.Time, available bool) {
 	s.rollouts.mu.Lock()
 	defer s.rollouts.mu.Unlock()
 	s.rollouts.host.SetOrdersAvailable(now, available)
 }
 
-// EraChanged implements follow.Sink.
+// EraChanged implements follow.Sink. The store was restored from a copy.
 func (s orderSink) EraChanged(now time.Time, era uint64) {
 	s.listLog.EraChanged(now, era)
 	s.rollouts.mu.Lock()
--- a/internal/entry/rollouts_lead.go
+++ b/internal/entry/rollouts_lead.go
@@ -22,14 +22,15 @@
 	seenAt time.Time
 	// leaderAddress is that of the leader; empty if it is not known.
 	leaderAddress string
-	// asked counts the hosts that were asked in turn while no leader was known.
+	// asked counts the reports without a leader's reply. While no leader is known, it selects the
+	// host that is asked next.
 	asked     int
 	candidate rollout.Candidate
 	readAt    time.Time // when the record was read last to take the lead
 
 	leader    *rollout.Leader // nil if another host leads
 	revision  uint64          // of the record
-	writtenAt time.Time
+	writtenAt time.Time       // when the last write of the record that succeeded was sent
 	// endedAt is when the order was decided or removed; zero before.
 	endedAt time.Time
 }
@@ -47,6 +48,7 @@
 	group.Wait()
 }
 
+// reportInterval returns the time between two reports of this host.
 func (r *rollouts) reportInterval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,6 +95,7 @@
 	group.Wait()
 }
 
+// reportOn reports on a roll-out to its leader, which may be this host.
 func (r *rollouts) reportOn(ctx context.Context, c *activeRollout) {
 	sentAt := time.Now()
 	r.mu.Lock()
@@ -119,6 +122,12 @@
 	err := r.node.Call(callCtx, address, methodReport, report, &reply)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reported(sentAt, c, address, reply, err)
+}
+
+// reported applies the answer to a report: the reply of the leader, or the hint of another host or a
+// failure, from which follows whom to ask next. The caller holds mu.
+func (r *rollouts) reported(sentAt time.Time, c *activeRollout, address string, reply rollout.Reply, err error) {
 	if err == nil && reply.Fence > 0 {
 		c.leaderAddress = address
 		r.handleReply(sentAt, c, reply)
@@ -126,13 +135,14 @@
 	}
 	if err != nil {
 		r.failures.Inc(1)
-		klog.V(1).InfoS("Report on a roll-out failed", "order", id.Name, "leader", address, "err", err)
+		klog.V(1).InfoS("Report on a roll-out failed", "order", c.id.Name, "leader", address, "err", err)
 	}
 	c.asked++
-	if err == nil && reply.LeaderAddress != "" {
+	switch {
+	case err == nil && reply.LeaderAddress != "":
 		c.leaderAddress = reply.LeaderAddress
-	} else if r.host.Quiet(time.Now(), id) >= leaderTimeout || c.leaderAddress == address && err == nil {
-		c.leaderAddress = ""
+	case r.host.Quiet(time.Now(), c.id) >= leaderTimeout, err == nil && c.leaderAddress == address:
+		c.leaderAddress = "" // the leader has failed, or says that it doesn't lead
 	}
 }
 
@@ -190,24 +200,16 @@
 			leading++
 			group.Go(func() { r.advance(ctx, c) })
 		case !stopping:
-			group.Go(func() { r.stand(ctx, c) })
+			group.Go(func() { r.tryLead(ctx, c) })
 		}
 	}
 	group.Wait()
 	r.leading.Update(leading)
 }
 
-// stand takes the lead of a roll-out if it is this host's turn and the lead is free.
-func (r *rollouts) stand(ctx context.Context, c *activeRollout) {
-	now := time.Now()
-	r.mu.Lock()
-	order, seenAt := c.order, c.seenAt
-	rank := slices.IndexFunc(rollout.Rank(order.Service, r.hosts), func(p rollout.Peer) bool { return p.ID == r.entry.settings.Host })
-	due := rank >= 0 && rollout.CandidateDue(rank, r.host.Quiet(now, order.OrderID)) && now.Sub(c.readAt) >= rollout.RenewInterval
-	if due {
-		c.readAt = now
-	}
-	r.mu.Unlock()
+// tryLead takes the lead of a roll-out if it is this host's turn and the lead is free.
+func (r *rollouts) tryLead(ctx context.Context, c *activeRollout) {
+	order, due := r.leadDue(time.Now(), c)
 	if !due {
 		return
 	}
@@ -216,31 +218,51 @@
 		klog.V(1).InfoS("Failed to read the record of a roll-out", "order", order.Name, "err", err)
 		return
 	}
-	r.mu.Lock()
-	free := c.candidate.Free(time.Now(), r.entry.settings.Host, order, present)
-	if !free && present.Order == order.OrderID {
-		c.leaderAddress = present.Address
-	}
-	r.mu.Unlock()
+	record, free := r.nextTerm(c, order, present)
 	if !free {
 		return
 	}
-	record := rollout.NextTerm(order, present, r.entry.settings.Host, r.entry.settings.PeerAddress, time.Since(seenAt))
-	r.mu.Lock()
-	record.Fence = max(record.Fence, r.host.Fence(order.OrderID)+1) // the store may have lost later terms
-	r.mu.Unlock()
 	revision, err = r.store.WriteRecord(ctx, order.Name, record, revision)
 	if err != nil {
 		klog.V(1).InfoS("Failed to take the lead of a roll-out", "order", order.Name, "err", err)
 		return
 	}
-	now = time.Now()
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.leader, c.revision, c.writtenAt = rollout.NewLeader(now, r.cfg, order, record, seenAt), revision, now
+	c.leader, c.revision, c.writtenAt = rollout.NewLeader(now, r.cfg, order, record, c.seenAt), revision, now
 	klog.InfoS("Leads roll-out", "order", order.Name, "service", order.Service, "version", order.Version, "fence", record.Fence, "phase", record.Phase, "elapsedMS", record.ElapsedMS)
 }
 
+// leadDue returns the order as it is now, and whether it is this host's turn to try to take the lead.
+// The record is read once in RenewInterval at most.
+func (r *rollouts) leadDue(now time.Time, c *activeRollout) (rollout.Order, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	order := c.order
+	rank := slices.IndexFunc(rollout.Rank(order.Service, r.hosts), func(p rollout.Peer) bool { return p.ID == r.entry.settings.Host })
+	if rank < 0 || !rollout.CandidateDue(rank, r.host.Quiet(now, order.OrderID)) || now.Sub(c.readAt) < rollout.RenewInterval {
+		return order, false
+	}
+	c.readAt = now
+	return order, true
+}
+
+// nextTerm returns the record with which this host takes the lead, or false if the lead isn't free.
+func (r *rollouts) nextTerm(c *activeRollout, order rollout.Order, present *rollout.Record) (rollout.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !c.candidate.Free(time.Now(), r.entry.settings.Host, order, present) {
+		if present.Order == order.OrderID {
+			c.leaderAddress = present.Address
+		}
+		return rollout.Record{}, false
+	}
+	record := rollout.NextTerm(order, present, r.entry.settings.Host, r.entry.settings.PeerAddress, time.Since(c.seenAt))
+	record.Fence = max(record.Fence, r.host.Fence(order.OrderID)+1) // the store may have lost later terms
+	return record, true
+}
+
 // resign makes this host give up the lead of all roll-outs because it stops.
 func (r *rollouts) resign() {
 	if r == nil {
@@ -281,6 +303,7 @@
 	r.mu.Lock()
 	status, statusDue := leader.StatusDue()
 	order, after := leader.Order(), leader.Phase()
+	// Later, another host may have taken the lead and decided otherwise.
 	recent := time.Since(c.writtenAt) < rollout.LeaseTime/2
 	r.mu.Unlock()
 	if before != after || urgent {
@@ -330,6 +353,7 @@
 	return r.store.WriteRecord(ctx, c.id.Name, record, revision)
 }
 
+// writeStatus writes the status of an order, unless the order has changed since the leader saw it.
 func (r *rollouts) writeStatus(ctx context.Context, leader *rollout.Leader, order rollout.Order, status rollout.Status) {
 	revision, err := r.store.WriteStatus(ctx, order.Name, status, order.Revision)
 	if err != nil {
