rollout: describe the parts of the model in its test

The model's methods had no comments and used the former name of taking the lead. Its faults, its steps and what it checks are described now; the checks are as before.

--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -33,9 +33,8 @@
 	revision  uint64 // of the record that the leader wrote
 	candidate Candidate
 	seenAt    time.Time
-	frozen    int // steps left
-	noStore   int
-	noPeers   int
+	// The steps for which the host is suspended, or doesn't reach the store or the other hosts.
+	frozen, noStore, noPeers int
 }
 
 // model is a tier with one order, a store and messages in flight.
@@ -61,6 +60,7 @@
 	reliable          bool     // nor have they had any, and nothing is lost
 }
 
+// newHost returns a process of a host that has just started and knows two versions of the service.
 func (m *model) newHost(id string) *modelHost {
 	m.runs++
 	h := &modelHost{id: id, host: NewHost(m.cfg, id, m.runs)}
@@ -92,6 +92,7 @@
 	}
 }
 
+// step lets a short time pass, in which messages arrive in any order.
 func (m *model) step() {
 	m.now = m.now.Add(modelStep)
 	for range len(m.messages) {
@@ -116,6 +117,7 @@
 	m.check()
 }
 
+// fault restarts, suspends or cuts off a host now and then.
 func (m *model) fault(i int, h *modelHost) {
 	switch {
 	case m.chance(0.002):
@@ -129,6 +131,8 @@
 	}
 }
 
+// act does what a host does in a step: it reads the order, sends requests and reports, and leads or
+// tries to.
 func (m *model) act(h *modelHost) {
 	if h.noStore == 0 && m.turn() {
 		order := m.order
@@ -150,7 +154,7 @@
 		if h.leader != nil {
 			m.lead(h)
 		} else {
-			m.stand(h)
+			m.tryLead(h)
 		}
 	}
 }
@@ -201,7 +205,8 @@
 	}
 }
 
-func (m *model) stand(h *modelHost) {
+// tryLead takes the lead if it is the host's turn and the lead is free.
+func (m *model) tryLead(h *modelHost) {
 	if len(h.host.Trials()) == 0 || !CandidateDue(slices.Index(m.hosts, h), h.host.Quiet(m.now, m.order.OrderID)) {
 		return
 	}
@@ -217,6 +222,7 @@
 	}
 }
 
+// store writes the record. Neither the term nor the reserve may fall.
 func (m *model) store(r *Record) {
 	if m.record != nil && (r.Fence < m.record.Fence || r.Reserve < m.record.Reserve) {
 		m.t.Fatalf("the record %+v follows %+v", r, m.record)
@@ -225,6 +231,7 @@
 	m.record = r
 }
 
+// lead does the work of a leader: it decides, renews the record and writes the status.
 func (m *model) lead(h *modelHost) {
 	l := h.leader
 	l.Advance(m.now, Target{Present: true})
@@ -262,6 +269,7 @@
 	}
 }
 
+// check checks what must hold at any time: the bound on the exposure and a single decision.
 func (m *model) check() {
 	// The grants keep a lower bound than the hosts have to, so that a small excess shows.
 	if bound := boundMargin * (m.cfg.Share*float64(m.requests) + m.cfg.Slack); !m.switched && float64(m.exposed) > bound {
