--- a/internal/entry/quota_claims.go
+++ b/internal/entry/quota_claims.go
@@ -112,8 +112,12 @@
 
 // answerClaim answers a claim and sends what follows from it.
 func (q *quotas) answerClaim(request claimRequest) claimReply {
+	claim := request.claim()
 	q.mu.Lock()
-	reply, messages := q.lender.HandleClaim(bootTime(), request.claim())
+	if q.stopped && claim.Next == q.self {
+		claim.Next = "" // a host that stops must not begin to lend
+	}
+	reply, messages := q.lender.HandleClaim(bootTime(), claim)
 	q.mu.Unlock()
 	q.send(context.Background(), messages)
 	return newClaimReply(reply)
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -235,6 +235,11 @@
 	s.rollouts.mu.Lock()
 	defer s.rollouts.mu.Unlock()
 	s.rollouts.host.BeginEra()
+	for _, c := range s.rollouts.active {
+		if c.leader != nil {
+			c.leader.BeginEra()
+		}
+	}
 }
 
 func (s orderSink) Replace(now time.Time, items []follow.Item[rollout.Order], _ uint64) {
--- a/rollout/host.go
+++ b/rollout/host.go
@@ -82,7 +82,7 @@
 		return
 	}
 	s := h.service(serviceName)
-	if s.versions[versionName] != nil || len(s.versions) >= maxVersions {
+	if s.versions[versionName] != nil || !s.makeRoom() {
 		return
 	}
 	v := &version{standing: settled, arrivedAt: now}
@@ -207,8 +207,29 @@
 }
 
 // version returns a version, which an order may name before its first replica is registered.
+// makeRoom reports whether another version can be recorded. It forgets the refused version that
+// arrived first, whose replicas have long left, if there are too many.
+func (s *service) makeRoom() bool {
+	if len(s.versions) < maxVersions {
+		return true
+	}
+	oldest := ""
+	for name, v := range s.versions {
+		if v.standing == refused && (oldest == "" || v.arrivedAt.Before(s.versions[oldest].arrivedAt)) {
+			oldest = name
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	delete(s.versions, oldest)
+	return true
+}
+
+// version returns a version, which an order may name before a replica has it.
 func (s *service) version(name string) *version {
 	if s.versions[name] == nil {
+		s.makeRoom() // an order is recorded in any case
 		s.versions[name] = &version{standing: arrived}
 	}
 	return s.versions[name]
--- a/rollout/host_test.go
+++ b/rollout/host_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -288,3 +289,42 @@
 		t.Errorf("the version that was rolled back has standing %v, want %v", got, refused)
 	}
 }
+
+// Guards against a leader that writes the status of its order on condition of a revision from
+// before the store was restored, and against a record that keeps other leaders away for as long.
+func TestLeaderFollowsOrderAfterRestoreOfStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := Order{OrderID: OrderID{Name: "o", Service: "s", Version: "v2", Duration: time.Minute, Created: 5}, Revision: 90}
+	l := NewLeader(now, Config{Share: 0.1, Slack: 50, RollbackTime: time.Second}, order, NextTerm(order, nil, "host", "h:1", 0), now)
+	l.BeginEra()
+	order.Revision = 40
+	l.SetOrder(order)
+	if r, _ := l.Next(now); l.Order().Revision != 40 || r.OrderRevision != 40 {
+		t.Errorf("the order's revision is %d, the record's %d, want 40", l.Order().Revision, r.OrderRevision)
+	}
+}
+
+// Guards against a service whose new versions are no longer tried after many roll-outs in the life
+// of a process.
+func TestVersionsOfManyRolloutsAreForgotten(t *testing.T) {
+	h := NewHost(Config{Share: 0.1, Slack: 50, RollbackTime: time.Second}, "host", 1)
+	now := time.Unix(1000, 0)
+	h.SeeReplica(now, "s", "v0")
+	h.SetListed()
+	for i := 1; i <= 3*maxVersions; i++ {
+		now = now.Add(time.Second)
+		version := fmt.Sprint("v", i)
+		h.SeeReplica(now, "s", version)
+		id := OrderID{Name: "o", Service: "s", Version: version, Duration: time.Minute, Created: uint64(i)}
+		h.PutOrder(now, Order{OrderID: id, Revision: uint64(2 * i)})
+		h.PutOrder(now, Order{OrderID: id, Revision: uint64(2*i + 1), Status: Status{State: RolledBack, Version: version}})
+	}
+	versions := h.service("s").versions
+	if len(versions) > maxVersions {
+		t.Errorf("%d versions are kept, want %d at most", len(versions), maxVersions)
+	}
+	last := versions[fmt.Sprint("v", 3*maxVersions)]
+	if last == nil || last.standing != refused || versions["v0"] == nil || versions["v0"].standing != settled {
+		t.Errorf("the last version is %+v, the one in service %+v", last, versions["v0"])
+	}
+}
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -115,6 +115,9 @@
 // Phase returns the phase that hosts are told.
 func (l *Leader) Phase() Phase { return l.phase }
 
+// BeginEra records that the store was restored from a copy, so that revisions begin anew.
+func (l *Leader) BeginEra() { l.order.Revision, l.stored.OrderRevision = 0, 0 }
+
 // SetOrder updates the revision and the status of the order.
 func (l *Leader) SetOrder(o Order) {
 	if o.Revision > l.order.Revision {
