admission: say what the decay and the class limit mean

The comments of the half-life and of the largest number of classes used a term (pool) of another package and left open what happens beyond the limit. Comments only. Run: gofmt, go vet, go test ./admission.

--- a/admission/classes.go
+++ b/admission/classes.go
@@ -18,13 +18,14 @@
 }
 
 const (
-	// demandHalfLife is how soon the demand of a class that sends no more is forgotten. It
-	// spans several requests of a class that sends a few per second, and is short enough to
-	// notice an account that suddenly sends many times its usual.
+	// demandHalfLife is the time in which a recorded request loses half of its weight in the
+	// demand. It spans several requests of a class that sends a few per second, and is short
+	// enough to notice an account that suddenly sends many times its usual rate.
 	demandHalfLife = 2 * time.Second
 	// minDemand is the demand in requests below which a class is forgotten.
 	minDemand = 0.01
-	// maxClasses bounds the classes of one pool. Further accounts are treated as one.
+	// maxClasses bounds the memory of a Demand. The requests of further accounts count as
+	// requests without an account.
 	maxClasses = 4096
 	// maxPriorityShare and maxAccountShare are the largest shares of the requests with one
 	// priority, and of one account, that are refused, so that none is starved. What the
@@ -47,7 +48,7 @@
 
 // classDemand is the recent demand of a class.
 type classDemand struct {
-	requests float64 // decaying number of requests
+	requests float64 // number of requests, decayed to at
 	weight   float64
 	at       time.Time // of the last update of requests
 }
@@ -122,7 +123,7 @@
 
 const (
 	// divisionAge and divisionError are for how long, and for which difference of the total,
-	// a division is used again.
+	// a division is used again: it visits all classes, which is too much for each request.
 	divisionAge   = 50 * time.Millisecond
 	divisionError = 0.02
 )
