--- a/capacity/cold.go
+++ b/capacity/cold.go
@@ -33,7 +33,8 @@
 	return true
 }
 
-// Wait returns the time until a request may be sent; 0 if it may be now.
+// Wait returns the time until Allow permits a request, at most maxColdWait; 0 if it does now.
+// It neither blocks nor counts a request.
 func (c *ColdRateLimiter[K]) Wait(now time.Time, upstream K, share float64) time.Duration {
 	if share <= 0 {
 		return maxColdWait
@@ -54,7 +55,8 @@
 	return min(window-now.Sub(sent[len(sent)-maxRequests]), maxColdWait)
 }
 
-// maxColdWait bounds the wait for an upstream to which this host may send next to nothing.
+// maxColdWait bounds the wait for an upstream whose share is close to 0: the share may change
+// meanwhile, and the wait for a share of 0 would have no end.
 const maxColdWait = time.Minute
 
 // RetainOnly discards the state of upstreams that are not in the set.
