routing: say when accounts may be set and what a fingerprint covers

The comment of WithAccounts read as if it returned another table, and that of Fingerprint as if limits of services and accounts were part of it. Comments only.

--- a/routing/accounts.go
+++ b/routing/accounts.go
@@ -26,8 +26,9 @@
 // depend on how much of it is right, and the table holds no key in plain text.
 type keyDigest [sha256.Size]byte
 
-// WithAccounts adds the client accounts to a new table and returns it. The accounts' Keys are
-// not kept. If a key is listed twice, the first account has it.
+// WithAccounts sets the client accounts of the table and returns the table. It must be called
+// before the table is shared with other goroutines. The accounts' Keys are not kept. If a key
+// is listed twice, it belongs to the first account that lists it.
 func (t *Table) WithAccounts(accounts []Account) *Table {
 	keys := 0
 	for i := range accounts {
@@ -56,7 +57,7 @@
 // HasQuotas reports whether an account has a quota.
 func (t *Table) HasQuotas() bool { return t.hasQuotas }
 
-// Account returns the account with a name.
+// Account returns the account with a name. Its Keys are empty.
 func (t *Table) Account(name string) (*Account, bool) {
 	a, ok := t.accounts[name]
 	return a, ok
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -141,8 +141,9 @@
 	return nil, false
 }
 
-// Fingerprint returns a hash of all that the route says. Versions of the configuration whose
-// routes have the same fingerprint handle a request alike.
+// Fingerprint returns a hash of all fields of the route; 0 if it can't be computed. Versions of
+// the configuration whose routes have the same fingerprint send a request to the same services
+// under the same conditions. Limits of the services and of the accounts are not part of it.
 func (r *Route) Fingerprint() uint64 {
 	text, err := json.Marshal(r)
 	if err != nil {
