loadestimate: describe each lifetime on its own

Several constants were described as the same as another one that was not next to them, and Latency did not describe its parameters. Comments only.

--- a/loadestimate/loadestimate.go
+++ b/loadestimate/loadestimate.go
@@ -16,22 +16,22 @@
 )
 
 const (
-	// queueLifetime is the time in which the discount of a reported queue grows by a factor
-	// of e, in mean latencies: few requests stay in a queue for longer.
+	// queueLifetime is the age, in mean latencies, at which the deviation of a reported queue
+	// from its mean counts 1/e of what it did at first: few requests stay in a queue for longer.
 	queueLifetime = 1
-	// paceLifetime is the same for a reported pace, which follows the load that other
-	// programs put on the replica's machine.
+	// paceLifetime is the age at which the deviation of a reported pace from its mean counts
+	// 1/e. The pace follows the load that other programs put on the replica's machine.
 	paceLifetime = 250 * time.Millisecond
 	// paceWeight is the share of a pace's deviation from its mean that counts: the pace may
 	// change before the request arrives, and not all of a latency is work.
 	paceWeight = 0.5
-	// latencyLifetime is the same for a replica's relative latency, so that a replica that
-	// was avoided is tried again.
+	// latencyLifetime is the age of the last report at which the deviation of a replica's
+	// relative latency from 1 counts 1/e, so that a replica that was avoided is tried again.
 	latencyLifetime = 2 * time.Second
 	// meanWeight is the weight of a new report in the means. It is high because a host with a
 	// small share of the requests gets few reports.
 	meanWeight = 0.3
-	// latencyWeight is the weight of a new latency in the mean.
+	// latencyWeight is the weight of a new relative latency in the mean.
 	latencyWeight = 0.1
 	// usualPace is the reported pace, in percent, of a replica that works at its usual speed.
 	usualPace = 100
@@ -93,8 +93,8 @@
 // Age returns the age of the last report.
 func (r *Replica) Age(now time.Time) time.Duration { return now.Sub(r.reportedAt) }
 
-// queue returns the expected number of requests at the replica, running and waiting, of
-// which inFlight are this host's.
+// queue returns the expected number of requests at the replica, running and waiting. inFlight
+// of them are this host's.
 func (r *Replica) queue(now time.Time, inFlight int, meanLatency time.Duration) float64 {
 	others := discount(r.others, r.meanOthers, r.Age(now), queueLifetime*meanLatency)
 	return float64(inFlight) + others
@@ -104,8 +104,9 @@
 // requests as they are now. It must not be called before the first report.
 func (r *Replica) PerSlot(inFlight int) float64 { return (float64(inFlight) + r.meanOthers) / r.slots }
 
-// Latency returns the expected latency of a request that is sent now, relative to the mean
-// latency of all replicas.
+// Latency returns the expected latency of a request that is sent now, relative to meanLatency,
+// the mean latency of all replicas. inFlight is the number of this host's requests at the
+// replica now. It must not be called before the first report.
 func (r *Replica) Latency(now time.Time, inFlight int, meanLatency time.Duration) float64 {
 	queue := r.queue(now, inFlight, meanLatency)
 	pace := discount(r.pace/r.meanPace, 1, r.Age(now), paceLifetime)
@@ -113,7 +114,8 @@
 	return latency * (1 + paceWeight*(pace-1)) * r.delay(queue) / r.delay(r.meanOthers)
 }
 
-// delay returns the factor by which a queue makes requests slower.
+// delay returns the factor by which a queue makes requests slower. A request waits if those
+// ahead of it take all slots.
 func (r *Replica) delay(queue float64) float64 {
 	return 1 + busyCost*queue/r.slots + waitCost*max(queue+1-r.slots, 0)/r.slots
 }
