replicas: explain the entries of earlier runs in a new era

A newcomer could not tell why an entry that is listed leads to a removal, nor when a run that had gone is used again. Comments only. Run: gofmt, go vet, go test ./replicas.

--- a/replicas/era.go
+++ b/replicas/era.go
@@ -18,7 +18,8 @@
 	stepping bool
 	// missingUntil and returnedUntil are the ends of the grace periods.
 	missingUntil, returnedUntil time.Time
-	returned                    []*run
+	// returned are the runs that had gone and that the new era lists again.
+	returned []*run
 }
 
 // BeginEra records that the store was restored from a copy. The changes until EndStep lead to the
@@ -47,13 +48,14 @@
 	return r.era.stepping && known != nil && known.unregistered != nil
 }
 
-// markReturned keeps a run out of use for a while.
+// markReturned keeps a run out of use until its entry changes or returnedGrace has passed.
 func (r *Registry) markReturned(known *run) {
 	known.returned = true
 	r.era.returned = append(r.era.returned, known)
 }
 
-// endReturned ends the time in which runs that had gone are not used.
+// endReturned makes the runs that had gone usable again after returnedGrace: the store would
+// have removed their entries by then if they were still silent.
 func (r *Registry) endReturned(now time.Time) {
 	if now.Before(r.era.returnedUntil) {
 		return
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -149,7 +149,9 @@
 		return true
 	}
 	hadGone := r.hadGone(&rep)
-	if hadGone && e != nil { // the entry of an earlier run under the same id
+	if hadGone && e != nil {
+		// The restored store lists an earlier run under this id. The entry of the present run
+		// counts as missing: it is kept as lapsed until the replica registers again.
 		r.Remove(now, rep.ID)
 		return true
 	}
@@ -171,7 +173,7 @@
 		r.unregisterRun(now, e.Incarnation())
 		e.run = r.registerRun(rep.Incarnation())
 	}
-	if rep.Revision > e.Revision {
+	if rep.Revision > e.Revision { // the entry has changed, so its replica is alive
 		e.run.returned = false
 	}
 	if hadGone {
