watchers: define the step to a new era

Names such as stepUntil and awaitStep relied on a term that no comment defined, and awaitStep did not say what becomes of its error. Comments only.

--- a/watchers/history.go
+++ b/watchers/history.go
@@ -91,11 +91,11 @@
 	h.gaps = append(h.gaps, gap{after, until})
 }
 
-// lastRevision follows all revisions of an era.
+// lastRevision is above all revisions that an era gives out.
 const lastRevision = math.MaxUint64
 
-// end adds the difference from the state at a revision to that at which the next era begins. The
-// history then serves hosts that know a state up to that revision.
+// end adds the difference from the state at a revision to the first state of the next era. The
+// history then leads hosts that know a state up to that revision into the next era.
 func (h *history) end(difference []Object, revision uint64) {
 	h.addGap(revision, lastRevision)
 	h.add(difference, lastRevision)
--- a/watchers/list.go
+++ b/watchers/list.go
@@ -41,8 +41,8 @@
 	history  *history
 	position follow.Position
 	known    map[string]version
-	// previous leads hosts that know a state of the previous era to the first one of this
-	// era; nil if that is not known.
+	// previous leads hosts that know a state of the previous era to the first state of this
+	// era; nil if they are not known, or no longer kept.
 	previous *previousEra
 
 	maxBytes   int // of known
@@ -54,8 +54,8 @@
 	changed      chan struct{} // closed at the next change
 }
 
-// version is a version of an object. The same revision may be given out again in the next era, for
-// another value.
+// version identifies the value of an object. A revision alone does not: the next era may give it
+// out again for another value.
 type version struct {
 	revision uint64
 	digest   uint64 // of the value
@@ -68,12 +68,12 @@
 type previousEra struct {
 	history *history
 	era     uint64
-	next    uint64    // first revision that was listed in the current era
+	next    uint64    // revision of the first known state of the current era
 	since   time.Time // time of this host's first call to the store after that; zero before it
 }
 
-// previousEraTime is how long a host that calls the store keeps the previous era's history: longer
-// than the others take to notice a new era.
+// previousEraTime is how long a host that calls the store keeps the previous era's history. It is
+// longer than the others take to notice a new era.
 const previousEraTime = 30 * time.Second
 
 // knownOverhead is the approximate memory of a known object besides its name, in bytes.
--- a/watchers/watchers.go
+++ b/watchers/watchers.go
@@ -9,8 +9,8 @@
 // until a silent watcher is noticed. Whole lists are always read from the store.
 //
 // When the store begins a new era, the watchers read the lists anew and pass on the
-// differences. The hosts behind them wait a while for these before they read lists
-// themselves.
+// differences, each of which is a step from the last state of the earlier era. The hosts
+// behind them wait a while for the step before they read lists themselves.
 package watchers
 
 import (
@@ -177,8 +177,8 @@
 	// outageReported is when the follower was last told of an outage that a watcher
 	// reported.
 	outageReported time.Time
-	// stepUntil is until when this host waits for a watcher's difference to the new era of the
-	// store; zero if it knows of none.
+	// stepUntil is until when this host waits for a watcher's step to the new era of the
+	// store; zero if it has seen no new era since its last list or answer of a watcher.
 	stepUntil time.Time
 }
 
@@ -222,7 +222,7 @@
 // Watch implements follow.Source.
 func (s *Source) Watch(ctx context.Context, from follow.Position) (follow.Response[json.RawMessage], error) {
 	watcher, target := s.relay.next()
-	canStep := true // whether a watcher's difference to a new era may still come
+	canStep := true // whether a watcher's step to a new era may still come
 	if target == TargetWatcher {
 		answer, collapsed, err := s.askWatcher(ctx, watcher, from)
 		if err == nil {
@@ -259,6 +259,8 @@
 	return answer, nil
 }
 
+// awaitStep returns the error of a watch that has to wait for a watcher's step. The follower
+// repeats the watch after a backoff, without reporting an outage.
 func (s *Source) awaitStep() error {
 	return errors.Wrapf(follow.ErrOldEra, "list %s: no watcher has read it in the new era yet", s.name)
 }
