callers: say which connections give way

The package comment said that a connection with a request in progress never gives way, but one does whose caller does not read its answer. Places, counters, the flush time and the use of a nil Conn were not explained. Comments and one local name only.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -1,9 +1,11 @@
 // Package callers accepts the connections of callers and bounds what these hold: places,
-// descriptors, and the time for a header, a body and an answer.
+// descriptors, and the time for a header, a body and an answer. A place is room for one open
+// connection.
 //
 // While places are free, callers may take the time that the configuration allows. When places
-// run short, the connections that have not brought a whole request give way to new ones. A
-// connection whose request is in progress never does.
+// run short, connections without a whole request give way to new ones, which means that they
+// are closed, and so do those whose callers do not read their answers. Any other connection
+// with a whole request in progress keeps its place.
 package callers
 
 import (
@@ -36,19 +38,21 @@
 	// unreadTime is the time in which the rest of a body that nobody reads must arrive after
 	// the answer, so that the connection can be kept or closed without a reset.
 	unreadTime = 500 * time.Millisecond
-	// writeTimeout is the time in which a caller must take writeBytes of an answer. What is not
-	// larger than smallWrite costs no memory to speak of and may wait until places run short.
+	// writeTimeout is the time in which a caller must take writeBytes of an answer. It does not
+	// apply to writes of up to smallWrite: these hold little memory, and their connections give
+	// way when places run short.
 	writeTimeout = 30 * time.Second
 	writeBytes   = 64 << 10
 	smallWrite   = 4 << 10
-	// headerFactor and minHeaderBytes give the number of bytes after which a header is no longer
-	// read. The handler refuses the headers between the limit and that number.
+	// headerFactor times the limit, but at least minHeaderBytes, is the number of bytes after
+	// which a header is no longer read. The handler refuses headers between the limit and that
+	// number.
 	headerFactor   = 2
 	minHeaderBytes = 32 << 10
 	// minPlaces is the number of places on the smallest host.
 	minPlaces = 16
-	// descriptorShare of a process's descriptors are for callers. The others are for replicas,
-	// the store and other hosts, without which no caller gets an answer.
+	// descriptorShare is the share of a process's descriptors that is for callers. The others are
+	// for replicas, the store and other hosts, without which no caller gets an answer.
 	descriptorShare = 0.5
 )
 
@@ -75,8 +79,10 @@
 // Listener accepts the connections of callers, up to a number of places.
 type Listener struct {
 	net.Listener
-	places           int
-	limits           func() Limits
+	places int
+	limits func() Limits
+	// gaveWay counts connections that gave way, and noPlace new ones that were closed because
+	// none did.
 	gaveWay, noPlace metrics.Counter
 	// kept counts the times that a connection became idle after an answer.
 	kept metrics.Counter
@@ -154,14 +160,14 @@
 }
 
 // candidate returns the connection that gives way to a new one from an address, nil if none
-// does. An address that holds more than half of the places makes no other give way. The
-// caller holds mu.
+// does. If the address holds more than half of the places, only its own connections give way.
+// The caller holds mu.
 func (l *Listener) candidate(address netip.Addr, now time.Time) *Conn {
-	own := l.addresses[address] > l.places/2
+	ownOnly := l.addresses[address] > l.places/2
 	var best *Conn
 	var bestRank rank
 	for c := range l.conns {
-		if own && c.address != address {
+		if ownOnly && c.address != address {
 			continue
 		}
 		if r := c.rank(now); r.class != keeps && (best == nil || r.before(bestRank)) {
@@ -176,13 +182,14 @@
 // run.
 func (l *Listener) FreeMemory() { l.free(smallBody) }
 
-// FreeRequest is FreeMemory for a body of any size.
+// FreeRequest is FreeMemory for a body of any size. It frees a request's place in a limit on
+// requests in progress.
 func (l *Listener) FreeRequest() { l.free(0) }
 
 // free makes the connection give way whose body has been incomplete for longest, of those that
 // have brought at least a number of bytes of it.
 func (l *Listener) free(bodyBytes int64) {
-	const interval = 10 * time.Millisecond // bounds the time that a search takes of the processor
+	const interval = 10 * time.Millisecond // between searches, which visit all connections
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -212,7 +219,8 @@
 	}
 }
 
-// CloseSilent closes the connections that have carried no byte.
+// CloseSilent closes the connections that have carried no byte. Shutdown of an http.Server would
+// wait some seconds for them.
 func (l *Listener) CloseSilent() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -39,9 +39,11 @@
 	// arrivalTime is the time in which a connection doesn't give way, so that a whole request
 	// can arrive also while others return as soon as they are closed.
 	arrivalTime = 250 * time.Millisecond
-	// flushTime is the time after which an answer was written that the server had buffered.
+	// flushTime is the time after the end of a handler in which the server writes the rest of
+	// the answer from its buffer. The connection keeps its place meanwhile.
 	flushTime = 100 * time.Millisecond
-	// smallBody is the size of a body that counts as small in the memory of a host.
+	// smallBody is the size in bytes below which a body takes nothing from the memory for large
+	// bodies. It equals smallBytes of package membudget.
 	smallBody = 16 << 10
 	// idleMargin is added to the idle timeout that callers are told, so that a request sent
 	// just before it expires still finds the connection open.
@@ -52,7 +54,8 @@
 var ErrGaveWay = errors.New("the request took long to arrive and gave way to others")
 
 // Conn is a caller's connection. It keeps the times that a caller may take, which can change
-// while it is open: net/http fixes them when a server starts.
+// while it is open: net/http fixes them when a server starts. LimitBody, BodyRead, GaveWay and
+// NetworkTime do nothing on a nil Conn, which stands for a connection that is not known.
 type Conn struct {
 	net.Conn
 	limits  func() Limits
@@ -175,7 +178,9 @@
 		return
 	}
 	c.gaveWay = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection is closed
+	// A deadline that has passed ends a read in progress. An error means that the connection is
+	// closed.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // endRequest is called when the answer to a request with a body is ready. What is left of the
@@ -256,7 +261,7 @@
 	}
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. Write keeps within the deadline although it sets its own.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
 	limit := int64(0)
 	if !t.IsZero() {
@@ -304,8 +309,8 @@
 	return c.phase == opened
 }
 
-// incompleteBody returns since when the connection has brought a part of a body, of at least a
-// number of bytes, if it does.
+// incompleteBody returns when the reading of the present body began. It returns false if there
+// is none, if less than a number of bytes of it has arrived, or if the connection gave way.
 func (c *Conn) incompleteBody(bytes int64) (since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
