crowd: startCrowd returns no function

Its comment named a returned function that ends the crowd; method end does. Comments only. Run: gofmt, go vet ./internal/crowd; its tests were not run.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -1,6 +1,6 @@
-// Package crowd runs both kinds of daemons as processes beside many callers that take more than
-// they ask for: bodies of legal size, of which most stop just short of their end while their
-// connections stay open.
+// Package crowd tests both kinds of daemons as processes beside many slow callers. They send
+// bodies of legal size, of which most stop just short of their end while their connections stay
+// open.
 package crowd
 
 import (
@@ -108,7 +108,7 @@
 	opened   int
 }
 
-// startCrowd starts a crowd that ends with the returned function.
+// startCrowd starts the members of a crowd. The caller must call end.
 func startCrowd(t target, k bodyKind) *crowd {
 	c := &crowd{target: t, kind: k, stop: make(chan struct{}), conns: map[net.Conn]bool{}, complete: map[string]bool{}}
 	c.framing, c.framed = k.message(t.body(k.size))
--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -44,7 +44,7 @@
 	return text[max(0, len(text)-tailBytes):]
 }
 
-// binary is the program of both kinds of daemons.
+// binary is the path of the program of both kinds of daemons.
 var binary string
 
 // TestMain builds the program once for all tests.
