upstream: describe the parts of a load report and of a status check

Waiting was the only number of a report without a description, and the empty case for interim responses read like an omission. Comments only. Run: gofmt, go vet, go test ./upstream/...

--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -35,7 +35,7 @@
 type Identity struct {
 	// Key is the API key; empty if there is none, or more than one.
 	Key string
-	// Header holds the header fields in which callers identify themselves, or pretend to.
+	// Header holds the header fields about the caller's identity, which may be forged.
 	Header http.Header
 }
 
--- a/upstream/exchange/status.go
+++ b/upstream/exchange/status.go
@@ -34,7 +34,7 @@
 		switch status := response.StatusCode; {
 		case !upstream.IsReasonPhrase(response.Status):
 			return nil, errors.Wrapf(errBadStatus, "status line %q", response.Status)
-		case upstream.IsInterimStatus(status):
+		case upstream.IsInterimStatus(status): // the reply follows
 		case !upstream.IsFinalStatus(status):
 			return nil, errors.Wrapf(errBadStatus, "status %03d", status)
 		default:
--- a/upstream/status.go
+++ b/upstream/status.go
@@ -8,8 +8,8 @@
 // maxStatus is the largest status that HTTP defines.
 const maxStatus = 599
 
-// IsFinalStatus reports whether a status is that of a reply. What comes with another one is no
-// reply, whatever it states.
+// IsFinalStatus reports whether a status is that of a reply. A response with another status is no
+// reply, whatever its header and body state.
 func IsFinalStatus(status int) bool { return http.StatusOK <= status && status <= maxStatus }
 
 // IsInterimStatus reports whether a response with the status may come before a reply. A switch
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -67,9 +67,9 @@
 // Load is an upstream's own load report. It may be out of date or wrong, so it is used only
 // to reduce the load that is sent.
 type Load struct {
-	InFlight int `json:"in_flight"` // requests in its slots
-	Waiting  int `json:"waiting,omitempty"`
-	Slots    int `json:"slots"` // 0 if there is no report
+	InFlight int `json:"in_flight"`         // requests in its slots
+	Waiting  int `json:"waiting,omitempty"` // requests that wait for a slot
+	Slots    int `json:"slots"`             // 0 if there is no report
 	// Pace is how long work takes at the moment, in percent of the usual time. It is 0 if
 	// it is not reported.
 	Pace     int  `json:"pace,omitempty"`
