query: describe the weighted choice and the trial of even load

pickWithinMargin draws in one pass without saying so, and numbers of the trial had no unit or meaning. Comments only. Run: gofmt, go vet, go test ./query (all tests before the comments in the trial's test, TestReportsOfLoad after them).

--- a/query/evenload_test.go
+++ b/query/evenload_test.go
@@ -23,14 +23,15 @@
 	loadPauseEvery   = 6 * time.Second
 	loadPaceInterval = 600 * time.Millisecond
 	loadSlowShare    = 0.15 // of the intervals
-	loadSlowPace     = 250
+	loadSlowPace     = 250  // in percent of the usual time
 	loadLocalDelay   = time.Millisecond
 	loadRemoteDelay  = 4 * time.Millisecond
 	loadWarmUp       = 2 * time.Second
 )
 
-// loadTrial plays fan-outs of many hosts over replicas that pause and slow down. The hosts
-// choose by themselves, with reports of load that are too old by reportAge.
+// loadTrial plays fan-outs of many hosts over replicas that pause and slow down. Each host
+// chooses on its own. A report of load describes its replica as it was reportAge before the
+// reply.
 type loadTrial struct {
 	hosts     int
 	load      float64 // share of the slots that are busy if no replica is slow
@@ -96,6 +97,9 @@
 func (t *loadTrial) at(at time.Time, run func())       { heap.Push(&t.events, loadEvent{at, run}) }
 func (t *loadTrial) after(d time.Duration, run func()) { t.at(t.now.Add(d), run) }
 func (t *loadTrial) elapsed() time.Duration            { return t.now.Sub(time.Unix(0, 0)) }
+
+// inPause returns the time since the last pause began. The replica stands still during the
+// first loadPause of it.
 func (r *loadedReplica) inPause(at time.Time) time.Duration {
 	return (at.Sub(time.Unix(0, 0)) + r.phase) % loadPauseEvery
 }
@@ -115,7 +119,7 @@
 	if at < loadPause {
 		now, at = now.Add(loadPause-at), loadPause
 	}
-	if at+work > loadPauseEvery {
+	if at+work > loadPauseEvery { // the next pause interrupts it
 		work += loadPause
 	}
 	return now.Add(work)
@@ -316,11 +320,13 @@
 	}
 }
 
-// Differences between plays of the same choice with other seeds.
 const (
+	// loadSpreadNoise and loadTailNoise are factors by which plays of the same choice differ
+	// with other seeds.
 	loadSpreadNoise = 1.05
 	loadTailNoise   = 1.15
-	highLoad        = 0.6
+	// highLoad is the load from which on reports without delay must be of use.
+	highLoad = 0.6
 )
 
 // compare checks that requests are spread no less evenly than before and that fan-outs are
--- a/query/expected.go
+++ b/query/expected.go
@@ -51,7 +51,8 @@
 }
 
 // pickWithinMargin returns a random replica of the set. The probability of a replica is
-// proportional to the amount by which its cost is below the limit.
+// proportional to the amount by which its cost is below the limit. One pass suffices: each
+// replica takes the place of the chosen one with the probability of its part of the sum so far.
 func (m *Machine) pickWithinMargin(s *service, set uint64, costs []float64, limit float64) int {
 	chosen, sum := 0, 0.0
 	for i, cost := range costs {
--- a/query/stats.go
+++ b/query/stats.go
@@ -252,7 +252,7 @@
 	inFlightSince   []time.Time // send times of the requests in flight, in order
 	lastFailureRate float64     // recent share of failed attempts at failedAt
 	failedAt        time.Time
-	load            loadestimate.Replica
+	load            loadestimate.Replica // by the replica's own reports
 }
 
 func (r *replicaStats) begin(now time.Time) {
