entry: split handleGather and trackHosts

The decision whether another host's request runs, its result, and the use of a list of hosts are functions of their own now; their statements and order are the same.

--- a/internal/entry/hosts.go
+++ b/internal/entry/hosts.go
@@ -59,17 +59,7 @@
 		listed = slices.Contains(list, e.settings.Self())
 		list = known.update(list, e.eras.restored.Load())
 		onHosts(list)
-		e.offload.setHosts(list)
-		e.rollouts.setHosts(list)
-		e.quotas.setHosts(list)
-		division := offload.Uniform(max(len(list), 1))
-		if e.offload != nil {
-			division = offload.Divide(e.settings.Self(), list)
-		}
-		if old := e.shares.division.Swap(&division); *old != division {
-			klog.InfoS("Hosts that share the bounds", "hosts", division.Hosts, "before", old.Hosts,
-				"givers", division.OffloadingHosts, "gives", division.Offloads, "largeShare", division.Share)
-		}
+		e.setHosts(list)
 	}
 	read(true)
 	if !listed { // a restarted host is already listed
@@ -98,11 +88,26 @@
 			if read(true); !listed && !e.register(ctx, hosts, func() {}) {
 				return
 			}
-			i = -1
+			i = -1 // the intervals begin anew
 		}
 	}
 }
 
+// setHosts applies a list of hosts to all that depends on it.
+func (e *Entry) setHosts(list []watchers.Host) {
+	e.offload.setHosts(list)
+	e.rollouts.setHosts(list)
+	e.quotas.setHosts(list)
+	division := offload.Uniform(max(len(list), 1))
+	if e.offload != nil {
+		division = offload.Divide(e.settings.Self(), list)
+	}
+	if old := e.shares.division.Swap(&division); *old != division {
+		klog.InfoS("Hosts that share the bounds", "hosts", division.Hosts, "before", old.Hosts,
+			"givers", division.OffloadingHosts, "gives", division.Offloads, "largeShare", division.Share)
+	}
+}
+
 // register adds this host to the list, and reports whether it succeeded before ctx
 // ended. It calls onFailure after each failed call.
 func (e *Entry) register(ctx context.Context, hosts Hosts, onFailure func()) bool {
--- a/internal/entry/offload_receive.go
+++ b/internal/entry/offload_receive.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldlever/marigoldlever/drain"
 	"github.com/marigoldlever/marigoldlever/peer"
 	"github.com/marigoldlever/marigoldlever/query"
+	"github.com/marigoldlever/marigoldlever/routing"
 )
 
 // handleLeave cancels a request of another host whose caller has disconnected.
@@ -64,18 +65,9 @@
 		return gatherReply{Refused: "the request is not for several shards"}, nil
 	}
 	account, _ := table.Account(request.Account)
-	if r := rankOf(route, account); e.overload.refuses(started, route, route.Shards, r) {
-		return gatherReply{Failure: "the replicas are overloaded", RetryAfterUS: overloadRetryAfter(route, r).Microseconds()}, nil
-	}
-	available := e.availability(started, route, route.Shards)
-	if resumes := available.resumesIn(); resumes > 0 {
-		if available.lacksColdShare() {
-			return gatherReply{Refused: pausedRefusal}, nil
-		}
-		return gatherReply{Failure: pausedRefusal, RetryAfterUS: resumes.Microseconds()}, nil
-	}
-	if !available.enoughReachable() {
-		return gatherReply{Refused: "too few replicas are in reach"}, nil
+	available, refused := e.admitGather(started, route, account)
+	if refused != nil {
+		return *refused, nil
 	}
 	select {
 	case o.slots <- struct{}{}:
@@ -107,21 +99,44 @@
 		return nil, err
 	}
 	out.latencyGoal = latencyGoal
-	var reply gatherReply
+	reply := e.gatherResult(&out, route, finish)
+	e.report(&out)
+	reply.TookUS = time.Since(started).Microseconds()
+	return reply, nil
+}
+
+// admitGather returns the services of another host's request. It returns a reply instead if the
+// request is not run: because the replicas are overloaded, want no requests or are out of reach.
+func (e *Entry) admitGather(now time.Time, route *routing.Route, account *routing.Account) (availability, *gatherReply) {
+	if r := rankOf(route, account); e.overload.refuses(now, route, route.Shards, r) {
+		return availability{}, &gatherReply{Failure: "the replicas are overloaded", RetryAfterUS: overloadRetryAfter(route, r).Microseconds()}
+	}
+	available := e.availability(now, route, route.Shards)
+	if resumes := available.resumesIn(); resumes > 0 {
+		if available.lacksColdShare() { // the caller's host may have a share left
+			return availability{}, &gatherReply{Refused: pausedRefusal}
+		}
+		return availability{}, &gatherReply{Failure: pausedRefusal, RetryAfterUS: resumes.Microseconds()}
+	}
+	if !available.enoughReachable() {
+		return availability{}, &gatherReply{Refused: "too few replicas are in reach"}
+	}
+	return available, nil
+}
+
+// gatherResult returns the reply to another host's request that was run, and records its result.
+func (e *Entry) gatherResult(out *outcome, route *routing.Route, finish query.Finish) gatherReply {
 	if finish.Refusal != nil {
-		a := e.failed(&out, route, finish)
+		a := e.failed(out, route, finish)
 		out.verdict, out.reason = a.verdict.name, a.text
-		reply = gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: a.retryAfter.Microseconds()}
 		if errors.Is(finish.Refusal, query.ErrConcluded) {
-			reply = gatherReply{Refused: reply.Failure, Tries: finish.Answer.Counts.Tries}
+			return gatherReply{Refused: finish.Refusal.Error(), Tries: finish.Answer.Counts.Tries}
 		}
-	} else {
-		out.status, out.verdict = http.StatusOK, verdictMerged.name
-		body, signatures := out.merge(route, finish)
-		reply.Body, reply.Signatures = body, bytesOf(signatures)
-		e.recordAnswer(&out, route, body, signatures)
+		return gatherReply{Failure: finish.Refusal.Error(), MayHaveRun: finish.MayHaveRun, RetryAfterUS: a.retryAfter.Microseconds()}
 	}
-	e.report(&out)
-	reply.TookUS = time.Since(started).Microseconds()
-	return reply, nil
+	out.status, out.verdict = http.StatusOK, verdictMerged.name
+	body, signatures := out.merge(route, finish)
+	reply := gatherReply{Body: body, Signatures: bytesOf(signatures)}
+	e.recordAnswer(out, route, body, signatures)
+	return reply
 }
