entry: explain ranks, pauses and times of retry

Terms such as pool and the part of a division had no definition, and one comment covered three constants. Comments only. Run: gofmt, go vet ./internal/entry; its tests were not run.

--- a/internal/entry/eras.go
+++ b/internal/entry/eras.go
@@ -9,7 +9,7 @@
 	"github.com/marigoldlever/marigoldlever/watchers"
 )
 
-// eraSignal tells the tracking of hosts that the store was restored from a copy.
+// eraSignal tells trackHosts that the store was restored from a copy, which begins a new era.
 type eraSignal struct {
 	restored atomic.Bool   // whether the store was restored since this process began
 	changed  chan struct{} // holds an element after a change until it is noticed
--- a/internal/entry/keptout.go
+++ b/internal/entry/keptout.go
@@ -16,8 +16,8 @@
 type keptOut struct {
 	// stepping is set until the first state of the new era is known.
 	stepping bool
-	until    time.Time
-	names    map[string]bool
+	until    time.Time       // when the names are no longer kept
+	names    map[string]bool // data centres that stay out without an entry in the store
 }
 
 // begin records that a new era begins in which the given data centres are out.
--- a/internal/entry/loadmetrics.go
+++ b/internal/entry/loadmetrics.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// record updates the metrics, and logs the summary if reports were used.
+// record updates the metrics, and logs the summary if some choices were informed.
 func (m *loadMetrics) record(s query.LoadSummary) {
 	m.informed.Inc(int64(s.Informed))
 	m.uninformed.Inc(int64(s.Uninformed))
--- a/internal/entry/overload.go
+++ b/internal/entry/overload.go
@@ -28,15 +28,15 @@
 
 	mu         sync.Mutex
 	controller *admission.Controller
-	// demand holds the recent requests by pool: the services that they need, named by the
-	// first in order.
+	// demand holds the recent requests by pool, which is a set of services that requests need.
+	// Its key is the first of them by name.
 	demand map[string]*admission.Demand
 }
 
 // rank is what decides which requests are refused first in an overload.
 type rank struct {
 	class admission.Class
-	// weight is the account's part in a fair division.
+	// weight is the account's part in a fair division: its quota, or 1 without one.
 	weight float64
 }
 
@@ -133,7 +133,8 @@
 }
 
 // overloadRetryAfter returns when a caller should repeat a request that was refused in an
-// overload. Callers return spread over time, those with a higher priority first.
+// overload. The times are spread so that callers do not all return at once, and are shorter for
+// higher priorities.
 func overloadRetryAfter(route *routing.Route, r rank) time.Duration {
 	usual := float64(refusedRetryAfter(route))
 	later := min(float64(r.class.Priority), maxRetryRanks)
@@ -141,10 +142,13 @@
 }
 
 const (
-	// retryRankStep is by how much later than the usual time each lower priority returns, and
-	// retrySpread the span over which callers with one priority do, as shares of the usual
-	// time. maxRetryRanks bounds the first, as callers wait for a part of their deadline only.
+	// retryRankStep is added to the usual time for each step down in priority, as a share of
+	// the usual time.
 	retryRankStep = 0.25
-	retrySpread   = 0.5
+	// retrySpread is the span around it over which callers with one priority return, as a share
+	// of the usual time.
+	retrySpread = 0.5
+	// maxRetryRanks bounds the steps that are added, because callers wait only for a part of
+	// their deadline.
 	maxRetryRanks = 4
 )
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -23,8 +23,8 @@
 	// request waits in the socket buffer before it is read.
 	answerMargin = 2 * time.Millisecond
 	// acceptTime is the processor time that accepting a connection and reading a request
-	// takes before the request's clock starts, on a whole core. A host with a part of a
-	// core takes so many times as long.
+	// takes before the request's clock starts. On a host with a fraction of a core it takes
+	// acceptTime divided by the fraction.
 	acceptTime = 1200 * time.Microsecond
 	// finishShare of the timeout is reserved at its end for writing the answer, within
 	// minFinishMargin and maxFinishMargin.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -105,7 +105,7 @@
 			switch {
 			case wait.remaining == 0:
 				r := query.Replica{ID: c.ID, DataCentre: c.DataCentre, Held: oneSnapshot, Cold: c.ColdNow, Lapsed: c.Lapsed}
-				if tryFirst { // the others are ranked like lapsed ones, after the one to try
+				if tryFirst { // rank the others after the first, as if they were lapsed
 					r.Cold, r.Lapsed = r.Cold && j > 0, r.Lapsed || j > 0
 				}
 				replicaBuffer = append(replicaBuffer, r)
@@ -125,8 +125,8 @@
 // pause is the time until a replica may get a request from this host.
 type pause struct {
 	remaining time.Duration
-	// cold is set if the replica did not ask for the pause: this host's share of the request
-	// rate of the cold replica is used up.
+	// cold is set if the replica is cold and this host's share of its request rate is used up,
+	// so that another host may still send to it. Otherwise the replica asked for the pause.
 	cold bool
 }
 
@@ -179,8 +179,8 @@
 	return admitted{Replica: c.Replica, lapsed: c.Lapsed, pass: pass}, allowed
 }
 
-// hasUsable reports whether a service has a replica of a version that may get as many requests
-// as others.
+// hasUsable reports whether a service has a usable replica of a version that is not cold, so that
+// it may get as many requests as others.
 func (v *view) hasUsable(now time.Time, service, version string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
