exchange: say when the caller's identity is passed on

The comment said that requests which need no account pass it on; with accounts, a public route drops it too. Comment only.

--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -24,8 +24,8 @@
 	Host   string
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
-	// Identity is what the caller sent about its account. Only requests that need no account
-	// pass it on.
+	// Identity is what the caller sent about its account. It is passed on only if the
+	// configuration has no accounts.
 	Identity Identity
 	// Account is the name of the account that the request counts for; empty if there is none.
 	Account string
