--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -28,7 +28,7 @@
 }
 
 // explain returns what this host would do with a request. It takes the decisions of handle and
-// dispatch without their effects.
+// dispatch without their effects. The account's quota is left out, as asking for it takes a token.
 func (e *Entry) explain(now time.Time, request explain.Request) explain.Report {
 	report := explain.Report{Host: e.settings.Host, DataCentre: e.settings.DataCentre, Unreachable: e.reach.unreachable()}
 	table := e.view.table.Load()
@@ -61,7 +61,7 @@
 // explainServices fills in where a request would be sent.
 func (e *Entry) explainServices(now time.Time, report *explain.Report, route *routing.Route, r rank) {
 	names := route.Shards
-	if len(names) == 0 {
+	if len(names) == 0 { // a request is for one of them, by weight
 		for _, s := range route.Services {
 			names = append(names, s.Service)
 		}
