--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// ask sends a whole request on a connection of its own, with a body that is not empty in pieces,
-// and returns an error unless it is answered with a success.
+// ask sends a whole request on a connection of its own and returns an error unless it is answered
+// with a success. A body is sent in pieces of the given size, each after a pause.
 func (h *entryHost) ask(target, body string, piece int, pause, limit time.Duration, id string) error {
 	c, err := net.DialTimeout("tcp", h.address, limit)
 	if err != nil {
