--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -24,8 +24,8 @@
 	Host   string
 	Header http.Header // without hop-by-hop headers
 	Body   []byte
-	// Identity is what the caller sent about its account. Only requests that need no account
-	// pass it on.
+	// Identity is what the caller sent about its account. It is passed on only if the
+	// configuration has no accounts.
 	Identity Identity
 	// Account is the name of the account that the request counts for; empty if there is none.
 	Account string
@@ -35,7 +35,7 @@
 type Identity struct {
 	// Key is the API key; empty if there is none, or more than one.
 	Key string
-	// Header holds the header fields in which callers identify themselves, or pretend to.
+	// Header holds the header fields about the caller's identity, which may be forged.
 	Header http.Header
 }
 
