--- a/admission/classes_test.go
+++ b/admission/classes_test.go
@@ -113,19 +113,34 @@
 			counts[class]++
 		}
 		total := rapid.Float64Range(0, 0.7).Draw(t, "total")
-		sum, refused, refusedOf := 0.0, 0.0, map[int]float64{}
+		sum, refused := 0.0, 0.0
+		asked, refusedOf := map[int]float64{}, map[int]float64{}
 		for class, n := range counts {
 			share := d.RefusalShare(start, class, total)
 			if !(share >= 0 && share <= 0.9+1e-9) {
 				t.Fatalf("share of %+v is %v", class, share)
 			}
 			sum += float64(n)
+			asked[class.Priority] += float64(n)
 			refused += share * float64(n)
 			refusedOf[class.Priority] += share * float64(n)
 		}
 		if refused > total*sum+1e-6 {
 			t.Fatalf("%v of %v are refused, want %v at most", refused, sum, total*sum)
 		}
+		// The bound on the share of an account leaves a tenth at most of what must be refused.
+		const leastOfShare = 0.9
+		if refused < leastOfShare*total*sum-1e-6 {
+			t.Fatalf("%v of %v are refused, want %v at least", refused, sum, leastOfShare*total*sum)
+		}
+		const maxPriorityShare = 0.7
+		for urgent, n := range refusedOf {
+			for other := range asked {
+				if n > 1e-6 && other > urgent && refusedOf[other] < leastOfShare*maxPriorityShare*asked[other]-1e-6 {
+					t.Fatalf("priority %d is refused %v while %d is refused only %v of %v", urgent, n, other, refusedOf[other], asked[other])
+				}
+			}
+		}
 	})
 }
 
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -50,7 +50,7 @@
 		return report
 	}
 	if account != nil {
-		report.Account = account.Name
+		report.Account, report.PerSecond, report.Burst = account.Name, account.RequestsPerSecond, account.Burst
 	}
 	e.explainServices(now, &report, route, rankOf(route, account))
 	return report
@@ -58,37 +58,53 @@
 
 func refusedWith(v *verdict) string { return fmt.Sprintf("refused with %d: %s", v.status, v.rule) }
 
-// explainServices fills in where a request would be sent.
+// explainServices fills in where a request would be sent. A request over shards needs all its
+// services, any other request one of them, picked by weight.
 func (e *Entry) explainServices(now time.Time, report *explain.Report, route *routing.Route, r rank) {
-	names := route.Shards
-	if len(names) == 0 { // a request is for one of them, by weight
-		for _, s := range route.Services {
-			names = append(names, s.Service)
-		}
-	}
 	report.Priority = r.class.Priority
-	report.RefusalShare = e.overload.refusalShare(now, route, names, r)
 	report.StrongerHosts = e.offload.explain(route)
+	names := route.Shards
+	for _, s := range route.Services {
+		names = append(names, s.Service)
+	}
 	for _, name := range names {
 		report.Services = append(report.Services, explain.Service{Name: name, Replicas: e.explainReplicas(now, route, name)})
 	}
+	if len(route.Shards) > 0 {
+		report.RefusalShare = e.overload.refusalShare(now, route, names, r)
+		report.Required, report.Answer = e.explainSend(now, route, names)
+		if slices.ContainsFunc(report.StrongerHosts, func(h explain.StrongerHost) bool { return h.Alive }) {
+			report.Answer = "forwarded to the stronger host with the fewest requests in flight"
+		}
+		return
+	}
+	for i, name := range names {
+		s := &report.Services[i]
+		s.RefusalShare = e.overload.refusalShare(now, route, []string{name}, r)
+		report.Required, s.Answer = e.explainSend(now, route, []string{name})
+		report.RefusalShare = max(report.RefusalShare, s.RefusalShare)
+		report.Answer = s.Answer
+	}
+	if len(names) > 1 {
+		report.Answer = "for one of its services, picked by weight; each has an answer of its own"
+	}
+}
+
+// explainSend returns how many of the services an answer needs, and what would be done with a
+// request that needs them.
+func (e *Entry) explainSend(now time.Time, route *routing.Route, names []string) (required int, text string) {
 	available := e.availability(now, route, names)
-	report.Required = available.required
 	switch {
-	case slices.ContainsFunc(report.StrongerHosts, func(h explain.StrongerHost) bool { return h.Alive }):
-		report.Answer = "forwarded to the stronger host with the fewest requests in flight"
 	case available.resumesIn() > 0:
-		report.Answer = refusedWith(verdictRefused) + "; " + pausedRefusal
+		text = refusedWith(verdictRefused) + "; " + pausedRefusal
 	case !available.enoughReachable():
-		report.Answer = refusedWith(verdictRefused) + "; too few replicas are in reach"
+		text = refusedWith(verdictRefused) + "; too few replicas are in reach"
 	case !available.enoughConnections(route):
-		report.Answer = refusedWith(verdictRefused) + "; too few replicas have room"
+		text = refusedWith(verdictRefused) + "; too few replicas have room"
 	default:
-		report.Answer = "sent to the replica of each service that is expected to answer first"
-		if len(route.Shards) == 0 {
-			report.Answer = "sent to the replica that is expected to answer first, of one service by weight"
-		}
+		text = "sent to the replica of each service that is expected to answer first"
 	}
+	return available.required, text
 }
 
 // explainReplicas returns the replicas of a service with what speaks against each.
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -431,18 +431,23 @@
 
 func (s outSink) Replace(now time.Time, items []follow.Item[struct{}], revision uint64) {
 	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
 	s.view.dataCentresOut = make(map[string]bool)
 	if !s.view.outListed {
 		s.view.outListed = true
 		s.view.firstListed(now)
 	}
-	s.view.mu.Unlock()
-	s.Apply(now, items, revision)
+	s.apply(items, revision)
 }
 
 func (s outSink) Apply(_ time.Time, items []follow.Item[struct{}], revision uint64) {
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
+	s.apply(items, revision)
+}
+
+// apply applies changes in order. The caller holds the view's lock.
+func (s outSink) apply(items []follow.Item[struct{}], revision uint64) {
 	for _, item := range items {
 		switch {
 		case item.Removed:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -30,8 +30,12 @@
 	Version uint64 `json:"version"`
 	Route   string `json:"route,omitempty"`
 	// Account is the client account that has the key.
-	Account  string `json:"account,omitempty"`
-	Priority int    `json:"priority"`
+	Account string `json:"account,omitempty"`
+	// PerSecond and Burst are the account's quota; 0 if it has none. Whether it has room now is
+	// known only to the host that lends its tokens, which is not asked.
+	PerSecond float64 `json:"quota_per_second,omitempty"`
+	Burst     float64 `json:"quota_burst,omitempty"`
+	Priority  int     `json:"priority"`
 	// RefusalShare is the probability with which the request is refused because the replicas
 	// are overloaded.
 	RefusalShare float64 `json:"refusal_share"`
@@ -56,6 +60,10 @@
 type Service struct {
 	Name     string    `json:"name"`
 	Replicas []Replica `json:"replicas"`
+	// Answer and RefusalShare are those of a request that is picked for this service; empty if
+	// a request needs several services.
+	Answer       string  `json:"answer,omitempty"`
+	RefusalShare float64 `json:"refusal_share,omitempty"`
 }
 
 // Replica is a registered replica of a service.
@@ -85,6 +93,9 @@
 	if r.Account != "" {
 		fmt.Fprintf(w, ", account %s", r.Account)
 	}
+	if r.PerSecond > 0 {
+		fmt.Fprintf(w, ", quota %g a second and a burst of %g (not asked whether it has room)", r.PerSecond, r.Burst)
+	}
 	fmt.Fprintf(w, "\nrefused for overload with probability %.2f\n", r.RefusalShare)
 	for _, h := range r.StrongerHosts {
 		fmt.Fprintf(w, "stronger host %s: alive %t, %d requests of this host in flight\n", h.ID, h.Alive, h.InFlight)
@@ -120,6 +131,9 @@
 
 func (s *Service) print(w io.Writer) {
 	fmt.Fprintf(w, "service %s\n", s.Name)
+	if s.Answer != "" {
+		fmt.Fprintf(w, "  %s; refused for overload with probability %.2f\n", s.Answer, s.RefusalShare)
+	}
 	for _, r := range s.Replicas {
 		state := "may get it"
 		switch {
--- a/query/machine.go
+++ b/query/machine.go
@@ -191,10 +191,13 @@
 	}
 	s := &m.services[a.service]
 	rep := &s.replicas[a.replica]
-	rep.stats.load.Report(now, r.Load, rep.stats.inFlight)
+	foreign := r.Attempt != id || r.Service != s.name
+	if !foreign {
+		rep.stats.load.Report(now, r.Load, rep.stats.inFlight)
+	}
 	m.endAttempt(now, a, true)
 	m.mayHaveRun = true
-	if r.Attempt != id || r.Service != s.name {
+	if foreign {
 		m.counts.DroppedReplies++
 		m.attemptFailed(now, a, Failure{Reason: ReasonBroken})
 		return m.completeEvent(now)
--- a/replicas/era_test.go
+++ b/replicas/era_test.go
@@ -125,3 +125,25 @@
 		t.Errorf("candidate is %+v, %v, want the present run", c, ok)
 	}
 }
+
+// Guards against a run that had gone and gets work again because the store is restored a second
+// time while its older entry is still listed.
+func TestRunThatHadGoneStaysOutAfterTwoRestores(t *testing.T) {
+	r, _ := newStartedRegistry()
+	r.Remove(at(100), "a")
+	r.Expire(at(200))
+	listed := []replicas.Replica{startedReplica("a", 7, 30), startedReplica("b", 8, 31)}
+	for era := range 2 {
+		now := at(1000 * (era + 1))
+		r.BeginEra(now)
+		r.Replace(now, listed)
+		r.EndStep()
+		if n := usable(r, now); n != 1 {
+			t.Errorf("era %d: %d replicas are usable, want 1: a had gone", era, n)
+		}
+	}
+	r.Put(at(2500), startedReplica("a", 7, 40))
+	if n := usable(r, at(2500)); n != 2 {
+		t.Errorf("%d replicas are usable after a has written its entry, want 2", n)
+	}
+}
--- a/replicas/replicas.go
+++ b/replicas/replicas.go
@@ -173,7 +173,7 @@
 		r.unregisterRun(now, e.Incarnation())
 		e.run = r.registerRun(rep.Incarnation())
 	}
-	if rep.Revision > e.Revision { // the entry has changed, so its replica is alive
+	if rep.Revision > e.Revision && !r.era.stepping { // the entry has changed, so its replica is alive
 		e.run.returned = false
 	}
 	if hadGone {
--- a/upstream/upstreamhttp/client.go
+++ b/upstream/upstreamhttp/client.go
@@ -199,6 +199,8 @@
 	resp, err := roundTrip(pooled.client, req, c.cfg.Memory, c.cfg.MaxReplyBytes)
 	if errors.Is(err, errBadStatus) {
 		trace.CloseConnection()
+		// net/http keeps a connection without a body in its pool before it returns the response.
+		pooled.transport.CloseIdleConnections()
 	}
 	return resp, err
 }
