entry: tests of planned stops leave 300 ms for the way through a busy machine

Their work took 1.9 s of a timeout of 2 s, so that 100 ms were left for the call between two hosts and 24 new connections under the race detector. It failed likewise in runs of the parts at loads of 30 to 40. TestRequestWithoutConnectionsIsRefusedBeforeSending waited for three of its four shards only, and then counted all four.

Change: the work takes 1.7 s. Requests that are accepted last still end in the last sixth of the grace period, so that the checks are as strict. The other test waits for all its shards.

--- a/internal/entry/connections_test.go
+++ b/internal/entry/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 		}
 		first <- g
 	}()
-	for deadline := time.Now().Add(5 * time.Second); tr.shards[shards-1].requests.Load() == 0 || tr.shards[0].requests.Load() == 0 || tr.shards[1].requests.Load() == 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); slices.ContainsFunc(tr.shards, func(s *shard) bool { return s.requests.Load() == 0 }); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the first request did not reach its shards within 5 s")
 		}
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -18,10 +18,12 @@
 
 const (
 	// stopGrace, stopTimeout and stopWork are the grace period, the timeout of all routes
-	// and the work time of each request in the tests of planned stops.
+	// and the work time of each request in the tests of planned stops. The work of requests that
+	// are accepted last ends in the last sixth of the grace period. It leaves 300 ms of the
+	// timeout for the way through a busy machine.
 	stopGrace   = 4 * time.Second
 	stopTimeout = 2 * time.Second
-	stopWork    = 1900 * time.Millisecond
+	stopWork    = 1700 * time.Millisecond
 	// lastSixth is when the last sixth of the grace period begins.
 	lastSixth = stopGrace - stopGrace/6
 	// stopNoticed is the time after the beginning of the stop from which on every answer must
