callers: one piece of code reads a body for both servers; one bound of small bodies

Cause: the entry and the daemon's API each read a body, marked the request as whole and looked whether its connection had given way; callers kept a copy of membudget's bound of small bodies, held equal by a comment.

Change: Conn.ReadBody does it for both, and membudget.SmallBytes is the one bound. Behaviour is the same.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -294,15 +294,9 @@
 // bytes that are not UTF-8, which would not reach upstreams as sent.
 func (s *Server) decodeBody(c echo.Context, target any) error {
 	limit := int64(s.limits.BodyBytes)
-	body, held, err := s.limits.Memory.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength, limit)
-	memoryOf(c).Adopt(held)
 	conn := callers.FromContext(c.Request().Context())
-	if err == nil {
-		err = conn.BodyRead()
-	}
-	if conn.GaveWay() {
-		err = callers.ErrGaveWay
-	}
+	body, held, err := conn.ReadBody(s.limits.Memory, http.MaxBytesReader(c.Response(), c.Request().Body, limit), c.Request().ContentLength, limit)
+	memoryOf(c).Adopt(held)
 	if err == nil && !utf8.Valid(body) {
 		err = errors.New("not UTF-8")
 	}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -19,6 +19,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 // Limits bound what a caller may send, and how long it may take.
@@ -180,7 +182,7 @@
 // FreeMemory makes the connection give way whose large body has been incomplete for longest,
 // if that is longer than an ordinary body takes. Its request is answered as one that has not
 // run.
-func (l *Listener) FreeMemory() { l.free(smallBody) }
+func (l *Listener) FreeMemory() { l.free(membudget.SmallBytes) }
 
 // FreeRequest is FreeMemory for a body of any size. It frees a request's place in a limit on
 // requests in progress.
--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 // fakeConn is a connection that carries nothing.
@@ -148,10 +150,10 @@
 		c.bodyBytes.Store(bytes)
 		return c
 	}
-	longest := open(readingBody, time.Minute, 2*smallBody)
-	next := open(readingBody, 2*ordinaryTime, 2*smallBody)
-	small := open(readingBody, time.Hour, smallBody/2)
-	kept := []*Conn{open(readingBody, 0, 2*smallBody), open(handling, time.Hour, 2*smallBody)}
+	longest := open(readingBody, time.Minute, 2*membudget.SmallBytes)
+	next := open(readingBody, 2*ordinaryTime, 2*membudget.SmallBytes)
+	small := open(readingBody, time.Hour, membudget.SmallBytes/2)
+	kept := []*Conn{open(readingBody, 0, 2*membudget.SmallBytes), open(handling, time.Hour, 2*membudget.SmallBytes)}
 	for _, want := range []*Conn{longest, next} {
 		l.lastFreed = time.Time{}
 		l.FreeMemory()
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/marigoldlever/marigoldlever/internal/membudget"
 )
 
 // phase is what a connection is doing.
@@ -42,9 +44,6 @@
 	// flushTime is the time after the end of a handler in which the server writes the rest of
 	// the answer from its buffer. The connection keeps its place meanwhile.
 	flushTime = 100 * time.Millisecond
-	// smallBody is the size in bytes below which a body takes nothing from the memory for large
-	// bodies. It equals smallBytes of package membudget.
-	smallBody = 16 << 10
 	// idleMargin is added to the idle timeout that callers are told, so that a request sent
 	// just before it expires still finds the connection open.
 	idleMargin = time.Second
@@ -160,6 +159,19 @@
 	return nil
 }
 
+// ReadBody reads the whole body of a request and begins its handling. The caller has to release
+// held, also after an error. The error is ErrGaveWay if the connection gave way meanwhile.
+func (c *Conn) ReadBody(memory *membudget.Budget, body io.Reader, size, limit int64) (content []byte, held int64, err error) {
+	content, held, err = memory.ReadAll(body, size, limit)
+	if err == nil {
+		err = c.BodyRead()
+	}
+	if c.GaveWay() {
+		err = ErrGaveWay
+	}
+	return content, held, err
+}
+
 // GaveWay reports whether the connection gave way before a whole request had arrived.
 func (c *Conn) GaveWay() bool {
 	if c == nil {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -156,13 +156,7 @@
 	}
 	conn := callers.FromContext(r.Context())
 	conn.LimitBody(out.started.Add(out.timeout))
-	body, out.bodyHeld, err = e.memory.bodies.ReadAll(r.Body, r.ContentLength, limit)
-	if err == nil {
-		err = conn.BodyRead()
-	}
-	if conn.GaveWay() {
-		err = callers.ErrGaveWay
-	}
+	body, out.bodyHeld, err = conn.ReadBody(e.memory.bodies, r.Body, r.ContentLength, limit)
 	return body, err
 }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -46,8 +46,8 @@
 // Release gives reserved bytes back.
 func (b *Budget) Release(bytes int64) { b.used.Add(-bytes) }
 
-// smallBytes is the size up to which ReadAll needs no reservation.
-const smallBytes = 16 << 10
+// SmallBytes is the size up to which ReadAll needs no reservation.
+const SmallBytes = 16 << 10
 
 var (
 	// ErrTooLarge reports content that exceeds its own limit.
@@ -63,7 +63,7 @@
 	if size > limit {
 		return nil, 0, errors.Wrapf(ErrTooLarge, "%d bytes", size)
 	}
-	if size >= 0 && size <= smallBytes {
+	if size >= 0 && size <= SmallBytes {
 		content = make([]byte, size)
 		_, err = io.ReadFull(r, content)
 		return content, 0, err
@@ -74,7 +74,7 @@
 			content, held = nil, 0
 		}
 	}()
-	content = make([]byte, 0, min(smallBytes, limit+1))
+	content = make([]byte, 0, min(SmallBytes, limit+1))
 	for {
 		n, err := r.Read(content[len(content):cap(content)])
 		content = content[:len(content)+n]
