--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -119,9 +118,6 @@
 	}
 }
 
-// signal sends a signal to the process.
-func (d *daemon) signal(s syscall.Signal) { _ = d.command.Process.Signal(s) }
-
 // kill ends the process.
 func (d *daemon) kill() {
 	_ = d.command.Process.Kill()
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -72,20 +72,6 @@
 	s.write(kind, name, text)
 }
 
-// remove deletes an object.
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.kinds[kind][name]
-	if o == nil {
-		return
-	}
-	delete(s.kinds[kind], name)
-	s.revision++
-	o.Meta.Revision = s.revision
-	s.record(event{kind: kind, revision: s.revision, object: *o, removed: true})
-}
-
 // write sets the spec of an object. The caller holds mu.
 func (s *store) write(kind, name string, spec json.RawMessage) *object {
 	if s.kinds[kind] == nil {
