exchange: no connection carries a request twice

Cause: all sends of a request have the same id. A replica's second copy of a refusal, sent late on the same connection, was taken for the answer to a second send on that connection. The pool avoided a connection only if the last request on it had the same id; one other request in between defeated this.

Change: a connection remembers the hashes of all ids that it has carried, and is passed over for these requests. The most recently used other idle connection is taken, or one is opened. A connection is closed after 512 requests, which bounds that memory (4 KB) without forgetting an id. Counted as exchange.connections.passed_over and exchange.closed.request_limit.

Why it works: a second copy comes on the connection of its request. If that carries the id only once, a reply with the id on it can only be the reply to this send, whatever the kind, the status, the number of attempts and replicas, and whichever host sent the request here.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -134,6 +134,7 @@
 					return
 				}
 				s.requests.Add(1)
+				r.RemoteAddr = c.RemoteAddr().String()
 				text := s.reply(r, string(body))
 				if text == "" {
 					return
--- a/upstream/exchange/conn.go
+++ b/upstream/exchange/conn.go
@@ -18,7 +18,7 @@
 	bounded  *boundedReader // below reader
 	lastUsed time.Time
 	idle     time.Duration // for which the replica keeps the idle connection open
-	lastID   string        // id of the last request
+	carried  carriedIDs
 
 	mu sync.Mutex
 	// serial changes at the start and end of each request, so that the cancellation of
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -36,6 +36,9 @@
 	idleMargin = 700 * time.Millisecond
 	// maxFreshIdle is the maximum idle time of a connection for Call.AtMostOnce.
 	maxFreshIdle = time.Second
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It
+	// bounds the memory for their ids.
+	maxRequestsPerConn = 512
 
 	readBufferBytes = 2 << 10
 )
@@ -48,6 +51,7 @@
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 
 	opened, reused, lost, mismatched metrics.Counter
+	passedOver                       metrics.Counter // idle connections that had carried the request before
 	registry                         metrics.Registry
 
 	mu      sync.Mutex
@@ -80,6 +84,7 @@
 		reused:     metrics.GetOrRegisterCounter("exchange.connections.reused", registry),
 		lost:       metrics.GetOrRegisterCounter("exchange.replies.lost", registry),
 		mismatched: metrics.GetOrRegisterCounter("exchange.replies.stray", registry),
+		passedOver: metrics.GetOrRegisterCounter("exchange.connections.passed_over", registry),
 		targets:    make(map[replicas.Incarnation]*target),
 	}
 }
@@ -101,7 +106,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	if conn.lastID == "" && c.Permitted != nil {
+	if conn.carried.empty() && c.Permitted != nil {
 		if err := c.Permitted(); err != nil {
 			p.release(c.Destination, conn, true)
 			return Reply{}, err
@@ -205,22 +210,8 @@
 		t = &target{}
 		p.targets[c.Destination] = t
 	}
-	now := time.Now()
-	for n := len(t.idle); n > 0; n = len(t.idle) {
-		last := t.idle[n-1]
-		age := now.Sub(last.lastUsed)
-		if age > last.idle-idleMargin || last.lastUsed.Before(t.suspectBefore) {
-			t.idle = t.idle[:n-1]
-			t.open--
-			last.Close()
-			p.countClosed("idle_too_long")
-			continue
-		}
-		if (c.AtMostOnce && age > maxFreshIdle) || last.lastID == c.Request.ID {
-			break
-		}
-		t.idle = t.idle[:n-1]
-		return last, nil
+	if idle := p.takeIdle(t, c); idle != nil {
+		return idle, nil
 	}
 	if t.open >= limit {
 		switch {
@@ -243,6 +234,34 @@
 	return nil, nil
 }
 
+// takeIdle removes the most recently used idle connection that can carry the request, and
+// returns nil if there is none. It closes those that are too old. The caller holds mu.
+func (p *Pool) takeIdle(t *target, c Call) *conn {
+	now := time.Now()
+	id := hashID(c.Request.ID)
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		idle := t.idle[i]
+		age := now.Sub(idle.lastUsed)
+		if age > idle.idle-idleMargin || idle.lastUsed.Before(t.suspectBefore) {
+			t.idle = slices.Delete(t.idle, i, i+1)
+			t.open--
+			idle.Close()
+			p.countClosed("idle_too_long")
+			continue
+		}
+		if c.AtMostOnce && age > maxFreshIdle {
+			return nil // the others were last used before
+		}
+		if idle.carried.has(id) {
+			p.passedOver.Inc(1)
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
+		return idle
+	}
+	return nil
+}
+
 // release returns a connection to the pool if it can be kept, and closes it otherwise. c is
 // nil if the connection could not be opened.
 func (p *Pool) release(incarnation replicas.Incarnation, c *conn, keep bool) {
@@ -316,8 +335,8 @@
 	message := requestBuffers.Get().(*[]byte)
 	*message = p.codec.AppendRequest((*message)[:0], call.Request, call.Destination.ID, remaining)
 	defer requestBuffers.Put(message)
-	first := c.lastID == ""
-	c.lastID = call.Request.ID
+	first := c.carried.empty()
+	c.carried.add(hashID(call.Request.ID))
 	if err := c.SetDeadline(call.Deadline.Add(replyGrace)); err != nil {
 		return Reply{}, false, errors.Wrapf(upstream.ErrConnect, "replica %s: %v", call.Destination.ID, err)
 	}
@@ -340,10 +359,14 @@
 	return reply, keep, nil
 }
 
-// belongs reports whether a reply answers the request of the call, given whether that is
-// the first one on its connection. A refusal may lack the id. It may then be a late copy
-// that belongs to an earlier request of the connection, so that it proves nothing about a
-// request that must not run twice.
+// belongs reports whether a reply answers this send of the request, given whether it is the
+// first on its connection.
+//
+// All sends of a request have the same id, and a replica may send a second copy of a reply
+// late, on the same connection. The id is proof only because no connection carries a request
+// twice (see takeIdle). A refusal may lack the id. It may then be a late copy that belongs to
+// an earlier request of the connection, so that it proves nothing about a request that must
+// not run twice.
 func belongs(call Call, reply *Reply, first bool) bool {
 	if reply.RequestID != "" {
 		return reply.RequestID == call.Request.ID
@@ -388,6 +411,8 @@
 		keep = p.countClosed("replica_closes")
 	case c.reader.Buffered() > 0:
 		keep = p.countClosed("extra_bytes")
+	case len(c.carried) >= maxRequestsPerConn:
+		keep = p.countClosed("request_limit")
 	}
 	c.idle = keepAliveTime(response.Header.Get("Keep-Alive"))
 	reply := p.codec.ReadReply(response.StatusCode, response.Header, body)
--- a/upstream/exchange/pool_test.go
+++ b/upstream/exchange/pool_test.go
@@ -60,6 +60,7 @@
 					if err != nil {
 						return
 					}
+					r.RemoteAddr = c.RemoteAddr().String()
 					text := script(int(requests.Add(1)), r)
 					if text == "" {
 						return
