exchange: a refusal without an id is proof on a new connection only

What callers could see: an idempotent request that runs at more replicas than its route's max_attempts allows.

Cause: a refusal without the request's id was accepted on a kept connection if the request was idempotent. It may be a second copy of an earlier refusal; then this request runs, though it counts as not run and is sent on.

Change: only the first reply of a connection is known to belong to its request without an id. Any other such reply counts as that of another request, for all kinds.

TestRefusalWithoutIDProvesNothingOnReusedConnection expected the fault for idempotent requests; it now expects the stricter rule for both kinds and that the error leaves open whether the request ran.

--- a/internal/entry/copies_test.go
+++ b/internal/entry/copies_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -91,3 +92,47 @@
 		t.Error(fmt.Sprintf("the caller of request %s was told that it has not run", id))
 	}
 }
+
+// Guards against an idempotent request that runs at more replicas than its route allows, because
+// copies of refusals without an id are taken for the answers of replicas that run it.
+func TestRefusalWithoutIDCountsAsAttempt(t *testing.T) {
+	const replicas, maxAttempts = 4, 2 // of the routes
+	tr := startTier(t, 1)
+	for i := 1; i < replicas; i++ {
+		tr.addReplica(t, "shard-000", fmt.Sprint("replica-", i))
+	}
+	var copies atomic.Bool
+	var mu sync.Mutex
+	ran := map[string]int{} // runs by request, while there are copies
+	for _, s := range tr.shards {
+		s.reply = func(r *http.Request, body string) string {
+			if !copies.Load() {
+				time.Sleep(50 * time.Millisecond) // so that the first requests use all replicas
+				return s.part(r, body)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ran[r.Header.Get("X-Request-Id")]++
+			return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + s.part(r, body)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond) // the retry budget starts empty
+	var group sync.WaitGroup
+	for range 3 * replicas {
+		group.Go(func() {
+			if _, err := tr.ask("GET", "/one/x", ""); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	copies.Store(true)
+	tr.mustAsk(t, "GET", "/one/x", "")
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range ran {
+		if n > maxAttempts {
+			t.Errorf("request %s ran %d times, its route allows %d attempts", id, n, maxAttempts)
+		}
+	}
+}
--- a/upstream/exchange/body_test.go
+++ b/upstream/exchange/body_test.go
@@ -197,7 +197,7 @@
 // proof that the next request on the connection did not run.
 func TestRefusalWithoutIDProvesNothingOnReusedConnection(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	for _, c := range []struct{ atMostOnce, first, want bool }{{true, true, true}, {true, false, false}, {false, false, true}} {
+	for _, c := range []struct{ atMostOnce, first, want bool }{{true, true, true}, {true, false, false}, {false, true, true}, {false, false, false}} {
 		rep := startReplica(t, func(_ int, r *http.Request) string {
 			if r.Header.Get("Id") == "before" {
 				return answer(r, "body")
@@ -213,7 +213,7 @@
 		call := rep.call("a", time.Second)
 		call.AtMostOnce = c.atMostOnce
 		reply, err := pool.Do(context.Background(), call)
-		if got := err == nil && reply.NotRun; got != c.want {
+		if got := err == nil && reply.NotRun; got != c.want || upstream.NotRun(err) {
 			t.Errorf("%+v: reply is %+v, %v", c, reply, err)
 		}
 	}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -364,14 +364,14 @@
 //
 // All sends of a request have the same id, and a replica may send a second copy of a reply
 // late, on the same connection. The id is proof only because no connection carries a request
-// twice (see takeIdle). A refusal may lack the id. It may then be a late copy that belongs to
-// an earlier request of the connection, so that it proves nothing about a request that must
-// not run twice.
+// twice (see takeIdle). A refusal may lack the id. It is then known to answer its request only
+// as the first reply of a connection: later it may be a copy of any earlier one, and this
+// request may run. Counted as refused, it would be sent to too many replicas.
 func belongs(call Call, reply *Reply, first bool) bool {
 	if reply.RequestID != "" {
 		return reply.RequestID == call.Request.ID
 	}
-	return reply.NotRun && (first || !call.AtMostOnce)
+	return reply.NotRun && first
 }
 
 // exchangeError counts a lost reply and returns its error.
