router: a result counts only from the owner that was asked last

What callers could see: an answer of the own interface that lacks a part whose reply was on its way.

Cause: an attempt keeps its id with each owner that is tried, and results were matched by the id alone. An owner handed one item of a batch back, another owner was asked, and the later error of the first owner's call ended the attempt with "reply lost".

Change: a result counts if it comes from the owner that was asked last and that still owes it, and counts once. The others are counted as router.late.

Why it works: no owner is asked twice for an attempt, so that owner and attempt id name one send.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -41,6 +41,8 @@
 	registry metrics.Registry
 	tracer   trace.Tracer
 	pending  sync.Map // attempt id to *routedAttempt
+	// late counts results that no owner was asked for any more.
+	late metrics.Counter
 	// beginWork counts the start of work for another host and reports whether this
 	// host accepts such work; endWork counts its end.
 	beginWork func(deadline time.Time) bool
@@ -61,6 +63,7 @@
 
 	mu        sync.Mutex
 	owner     ownership.Member // the last one tried
+	atOwner   bool             // whether the owner's result is awaited
 	cancelled bool
 }
 
@@ -69,11 +72,24 @@
 func (a *routedAttempt) assign(owner ownership.Member) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.owner = owner
+	a.owner, a.atOwner = owner, true
 	a.triedOwners = append(a.triedOwners, owner.ID)
 	return !a.cancelled
 }
 
+// takeResult reports whether the result of the owner at the address is awaited, and ends that
+// wait. All owners that are tried get the same attempt id, so that an earlier owner's late
+// result could otherwise be taken for that of the present one.
+func (a *routedAttempt) takeResult(address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.atOwner || a.owner.PeerAddress != address {
+		return false
+	}
+	a.atOwner = false
+	return true
+}
+
 // abandon cancels the attempt and returns the owner that was tried last, if any.
 func (a *routedAttempt) abandon() ownership.Member {
 	a.mu.Lock()
@@ -87,6 +103,7 @@
 		self: self, lookup: lookup, gateway: g, node: node, registry: registry, tracer: otel.Tracer("marigoldlever/router"),
 		beginWork: func(time.Time) bool { return true }, endWork: func() {},
 		reserve: func(int, int) (func(), bool) { return func() {}, true },
+		late:    metrics.GetOrRegisterCounter("router.late", registry),
 	}
 	node.Handle(methodWorkBatch, r.handleBatch)
 	node.Handle(methodWorkDone, r.handleDone)
@@ -118,7 +135,7 @@
 			continue
 		}
 		if owner.Member.ID == r.self {
-			r.sendLocally(ctx, a)
+			r.sendLocally(ctx, owner.Member.PeerAddress, a)
 			continue
 		}
 		batches[owner.Member.PeerAddress] = append(batches[owner.Member.PeerAddress], a)
@@ -158,9 +175,10 @@
 	return ownership.Share{}, false
 }
 
-func (r *router) sendLocally(ctx context.Context, a *routedAttempt) {
+// sendLocally sends an attempt through this host's gateway. The address is this host's own.
+func (r *router) sendLocally(ctx context.Context, address string, a *routedAttempt) {
 	r.gateway.submit(ctx, a.Attempt, func(reply upstream.Reply, err error) {
-		r.finishOrReroute(a.ID, reply, err)
+		r.finishOrReroute(a.ID, address, reply, err)
 	})
 }
 
@@ -187,7 +205,7 @@
 	}
 	cause := ownerError(err)
 	for _, a := range batch {
-		r.finishOrReroute(a.ID, upstream.Reply{}, cause)
+		r.finishOrReroute(a.ID, address, upstream.Reply{}, cause)
 	}
 }
 
@@ -204,15 +222,17 @@
 	}
 }
 
-// finishOrReroute ends an attempt, or tries another owner if this one certainly did not
-// send it.
-func (r *router) finishOrReroute(id string, reply upstream.Reply, err error) {
-	if err == nil || !errors.Is(err, errNotOwner) {
-		r.complete(id, reply, err)
+// finishOrReroute ends an attempt with the result of the owner at the address, or tries another
+// owner if this one certainly did not send it. Only the result of the owner that was asked last
+// counts, once.
+func (r *router) finishOrReroute(id, address string, reply upstream.Reply, err error) {
+	value, ok := r.pending.Load(id)
+	if !ok || !value.(*routedAttempt).takeResult(address) {
+		r.late.Inc(1)
 		return
 	}
-	value, ok := r.pending.Load(id)
-	if !ok {
+	if err == nil || !errors.Is(err, errNotOwner) {
+		r.complete(id, reply, err)
 		return
 	}
 	metrics.GetOrRegisterCounter("router.rerouted", r.registry).Inc(1)
@@ -220,12 +240,11 @@
 	r.route(a.ctx, []*routedAttempt{a})
 }
 
-// complete reports the result of an attempt. A reply to an attempt that is not pending
-// is late or was sent to the wrong host.
+// complete reports the result of an attempt, unless it was cancelled.
 func (r *router) complete(id string, reply upstream.Reply, err error) {
 	value, ok := r.pending.LoadAndDelete(id)
 	if !ok {
-		metrics.GetOrRegisterCounter("router.late", r.registry).Inc(1)
+		r.late.Inc(1)
 		return
 	}
 	value.(*routedAttempt).Done(reply, err)
@@ -297,7 +316,7 @@
 	if err := request.Decode(&done); err != nil {
 		return nil, err
 	}
-	r.finishOrReroute(done.Attempt, done.Reply, done.err())
+	r.finishOrReroute(done.Attempt, request.From, done.Reply, done.err())
 	return nil, nil
 }
 
