entry: the memory of a body is given back once

A send that is decided on while its query ends may start after the answer was written. Its end released the memory of the request's body a second time, so that the budget of bodies would let in more than it should.

Change: the release is forgotten when it is made. A late send doesn't count; its context has ended, so that it sends nothing.

Test: TestBodyCountsUntilItsLastSendEnds failed before ("the memory of the body was given back twice") and passes now.

--- a/internal/entry/body_budget_test.go
+++ b/internal/entry/body_budget_test.go
@@ -28,9 +28,14 @@
 		t.Fatal("the body counts no more although a send is in progress")
 	}
 	sender.endSend()
+	sender.running++ // a send that starts while its query ends
+	sender.endSend()
 	if !m.reserveBody(second, body) {
 		t.Fatal("the body still counts after its last send")
 	}
+	if m.reserveBody(&outcome{}, body) {
+		t.Fatal("the memory of the body was given back twice")
+	}
 	m.release(second)
 	if !m.bodies.Has(bodyBytes) {
 		t.Error("the body of a request that was not sent still counts")
--- a/internal/entry/sender.go
+++ b/internal/entry/sender.go
@@ -34,7 +34,7 @@
 	held    int64 // memory of the replies, released by close
 	closed  bool
 	running int    // sends in progress, which refer to the body of the request
-	ended   func() // called when none is any more; nil before afterSends
+	ended   func() // called when none is any more; nil if nothing waits for that
 	// slowest is the replica whose reply took longest, for the log.
 	slowest     string
 	slowestTime time.Duration
@@ -107,24 +107,28 @@
 func (s *sender) endSend() {
 	s.mu.Lock()
 	s.running--
-	ended := s.ended
-	last := s.running == 0
+	var ended func()
+	if s.running == 0 {
+		ended, s.ended = s.ended, nil
+	}
 	s.mu.Unlock()
-	if last && ended != nil {
+	if ended != nil {
 		ended()
 	}
 }
 
-// afterSends calls ended once no send is in progress. Those that were cancelled may still await
-// their replies. It must be called once, after the last Send.
+// afterSends calls ended once, as soon as no send is in progress. Those that were cancelled may
+// still await their replies. A send that starts later, because it was decided on while the query
+// ended, doesn't count: its context has ended.
 func (s *sender) afterSends(ended func()) {
 	s.mu.Lock()
-	s.ended = ended
-	idle := s.running == 0
-	s.mu.Unlock()
-	if idle {
-		ended()
+	if s.running > 0 {
+		s.ended = ended
+		s.mu.Unlock()
+		return
 	}
+	s.mu.Unlock()
+	ended()
 }
 
 // hold records the memory of a reply until close, and releases it after that. The caller
